Bound questions and holds by what the settings say they cost

Cause: each front end saved up 600 questions at its start and earned half a question a call, whatever a question costs and however many front ends do the same; holds (new copies, renewals) had no bound by price at all.

Ruled out: the network code sends no probe of its own of that number (76,000 answers with slots_up against 66,440 orders of the module; words asked of quiet connections make up the rest); refusals and late answers hardly changed with the questions, so nobody lived on what they told.

A hold that may not be ordered leaves the load to the lost request itself, as the design says.

--- a/src/control.rs
+++ b/src/control.rs
@@ -17,8 +17,12 @@
 const LONGEST: Micros = 3_600 * SEC; // longest request life kept: absurd figures cannot overflow the clock
 const ASK_WAIT: Micros = 60 * MS; // a lost request waits this long for first answers: several round trips
 const ASK_AGAIN: Micros = 4 * SEC; // no second question sooner: others' loads take a good part of that
-/// Questions that each call earns, and how many can be saved up: a round for some tens of functions.
+/// Questions that each call earns at most, and how many can be saved up: a round for some tens of functions.
 const QUESTIONS: (f64, f64) = (0.5, 600.0);
+const HOLDS: f64 = 8.0; // holds that can be saved up, and that each call earns at most
+/// Share of a call's worth that its questions and its holds may cost. A hundred gateways each need what one
+/// would, for a hundredth of the calls: without a bound by price they spend more than loads cost.
+const SPENT: (f64, f64) = (0.005, 0.01);
 const KEEP_USED: f64 = 0.9; // share of the told keep-alive that a belief lasts: travel time, slack
 const BELIEVED: f64 = 4.0; // most keep-alives for which others' calls are trusted to keep a copy
 const RENEW_AT: f64 = 0.75; // share of a belief's life after which a hold renews it, to arrive in time
@@ -87,6 +91,7 @@
         settings.max_attempts = settings.max_attempts.wrapping_sub(1).saturating_add(1); // 0: no limit
         let spans = [&mut settings.load_window, &mut settings.fall_window, &mut settings.keep];
         spans.into_iter().for_each(|s| *s = (*s).min(LONGEST));
+        let few = f64::from(FEW) / f64::from(settings.gateways.max(1)); // a round at each start is multiplied
         Controller {
             rng: Some(Pcg32::seed_from_u64(seed)),
             class_service: settings.classes.iter().map(|c| c.aim.min(DEFAULT_SPAN) as f64 / 4.0).collect(),
@@ -94,7 +99,10 @@
             mean_held: CROWD,
             load_cap: LOAD_CAP.1 / 2.0,
             retries: 5.0,
-            questions: QUESTIONS.1,
+            questions: QUESTIONS.1
+                * (SPENT.0 / settings.probe_price.max(0.0) / QUESTIONS.0).min(1.0)
+                * few.min(1.0),
+            holds: HOLDS,
             set: settings,
             ..Controller::default()
         }
@@ -268,7 +276,9 @@
         }
         self.taken.push_back(now);
         self.retries = (self.retries + RETRY_SHARE).min(20.0);
-        self.questions = (self.questions + QUESTIONS.0).min(QUESTIONS.1);
+        let price = self.set.probe_price.max(0.0);
+        self.questions = (self.questions + (SPENT.0 / price).min(QUESTIONS.0)).min(QUESTIONS.1);
+        self.holds = (self.holds + (SPENT.1 / price).min(HOLDS)).min(HOLDS);
         let left = left.min(LONGEST);
         let ends = now + left.saturating_sub(END_MARGIN);
         let tenant = tenant.filter(|&t| t < self.tenant_rate.len());
@@ -743,11 +753,12 @@
         awaited
     }
 
-    /// Rule 5, and a reserve of it for real losses: may another load be ordered now?
+    /// Rule 5, the price of holds, and a reserve of both for real losses: may no further load be ordered now?
     fn rationed(&mut self, now: Micros, spare: bool) -> bool {
         let window = self.set.load_window;
-        if window == 0 {
-            return false;
+        let dear = self.holds < if spare { HOLDS / 2.0 } else { 1.0 };
+        if dear || window == 0 {
+            return dear;
         }
         while self.ordered.front().is_some_and(|&t| t + window + END_MARGIN < now) {
             self.ordered.pop_front();
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -101,6 +101,8 @@
     pub second_copies: bool,
     /// Longest wait that clients can be advised of; 0: no advice is passed on.
     pub max_retry_after: Micros,
+    /// What a probe or an order costs, in shares of the result for one a request; 0: nothing.
+    pub probe_price: f64,
     /// A connection not established within this span counts as failed.
     pub connect_timeout: Micros,
     /// Workers close connections idle for this long.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -51,6 +51,7 @@
             may_cancel: flag(limits, "may-cancel"),
             second_copies: flag(limits, "second-copies"),
             max_retry_after: advice,
+            probe_price: number(part("deductions"), "probe").unwrap_or(0.0),
             connect_timeout: span(limits, "connect-timeout"),
             connection_idle: span(limits, "conn-idle"),
             streams_per_connection: count(limits, "streams-per-conn"),
--- a/src/state.rs
+++ b/src/state.rs
@@ -187,6 +187,7 @@
     pub(crate) retries: f64,
     pub(crate) last_reset: Micros,
     pub(crate) questions: f64,
+    pub(crate) holds: f64,
 }
 
 impl Controller {
@@ -320,6 +321,7 @@
     pub(crate) fn hold(&mut self, f: usize, w: usize, count: u32, now: Micros, out: &mut Vec<Action>) {
         self.copy(f, w).order = Some(Order::Hold(now));
         self.ordered.push_back(now);
+        self.holds -= 1.0;
         self.workers[w].orders_out += 1;
         self.loads_out += 1;
         out.push(self.order(f, w, count));
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -249,3 +249,29 @@
         answer(&mut rig, id, Outcome::Ok, 50 * MS, None);
     }
 }
+
+/// Questions and holds cost what the settings say: a hundred gateways must not each spend what one would.
+#[test]
+fn what_questions_and_holds_cost_stays_a_small_part_of_what_calls_are_worth() {
+    let spent = |probe_price| {
+        let set = Settings { probe_price, load_on_absence: true, ..many(100) };
+        let mut rig = Rig::new(set, 40);
+        let mut orders = 0;
+        for id in 1..=200 {
+            let mut out = call(&mut rig, id, id % 50, 0);
+            out.extend(rig.pass(20 * MS));
+            while let Some(action) = out.pop() {
+                if let Action::Load { worker, function, count } = action {
+                    orders += 1;
+                    out.extend(rig.loaded(&worker, function, count, Outcome::Ok));
+                }
+            }
+            answer(&mut rig, id, Outcome::Ok, 50 * MS, Some(1.0));
+            rig.pass(100 * MS);
+        }
+        orders
+    };
+    let (cheap, dear) = (spent(0.0), spent(0.08));
+    assert!(cheap > 2 * dear, "{cheap} where they cost nothing, {dear} where they are dear");
+    assert!(f64::from(dear) * 0.08 / 200.0 < 0.03, "{dear} for 200 calls at 0.08 each");
+}
