Pass the load reports in workers' answers on to the module

Cause: the reader of frames never looked at 'use', so the module took the whole fleet for one that reports nothing and guessed from answer times.

--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -273,11 +273,11 @@
         let Some(out) = open.attempts.get_mut(attempt).filter(|a| a.open) else { return };
         out.open = false;
         let elapsed = self.clock.now().saturating_sub(out.sent);
-        let Report { outcome, warm, crowd, payload } = report;
+        let Report { outcome, warm, crowd, inflight, payload } = report;
         if let (Outcome::Ok, Some(payload)) = (outcome, payload) {
             self.answer(id, Answer::Served(payload));
         }
-        let (closed, inflight) = (self.requests.get(&id).is_none_or(|o| o.answered), None);
+        let closed = self.requests.get(&id).is_none_or(|o| o.answered);
         self.events.push_back(Event::Outcome {
             id,
             attempt,
--- a/wrenseam/src/core/types.rs
+++ b/wrenseam/src/core/types.rs
@@ -94,6 +94,8 @@
     pub warm: Option<bool>,
     /// Requests of the function that the worker held, where told.
     pub crowd: Option<u32>,
+    /// Requests that the worker reports to hold, where told.
+    pub inflight: Option<f64>,
     /// The body, with `Ok`.
     pub payload: Option<Payload>,
 }
@@ -101,7 +103,7 @@
 impl Report {
     /// An end without an answer.
     pub fn bare(outcome: Outcome) -> Self {
-        Report { outcome, warm: None, crowd: None, payload: None }
+        Report { outcome, warm: None, crowd: None, inflight: None, payload: None }
     }
 }
 
--- a/wrenseam/src/worker/frames.rs
+++ b/wrenseam/src/worker/frames.rs
@@ -56,6 +56,16 @@
     pub fn field(&self, name: &str) -> Option<&str> {
         self.fields.split(',').find_map(|pair| pair.split_once('=').filter(|p| p.0 == name)).map(|p| p.1)
     }
+
+    /// Requests that the worker reports to hold. The settings name the figure in the simulator's word, the
+    /// protocol's page in its own: workers have been seen to use the first.
+    pub fn inflight(&self) -> Option<f64> {
+        let figure = |pair: &str| {
+            let (name, value) = pair.split_once(':')?;
+            matches!(name, "busy_reqs" | "inflight").then(|| value.parse().ok())?
+        };
+        self.field("use")?.split(';').find_map(figure)
+    }
 }
 
 /// Puts frames together from what a ring holds.
@@ -593,8 +603,9 @@
                 };
                 let told = matches!(outcome, Outcome::Ok | Outcome::Full);
                 let crowd = if told { number("company") } else { None };
+                let inflight = frame.inflight();
                 let payload = (outcome == Outcome::Ok).then_some(Payload::Bytes(frame.body));
-                reports.ended(key, Report { outcome, warm, crowd, payload });
+                reports.ended(key, Report { outcome, warm, crowd, inflight, payload });
             }
         }
     }
--- a/wrenseam/src/worker/kserve.rs
+++ b/wrenseam/src/worker/kserve.rs
@@ -438,7 +438,7 @@
     if outcome == Outcome::Ok && payload.is_none() {
         outcome = Outcome::Error; // it ran, but what it said cannot be passed on
     }
-    Report { outcome, warm, crowd, payload }
+    Report { outcome, warm, crowd, inflight: None, payload }
 }
 
 fn order_report(reply: &Reply, function: FunctionId, copies: u32) -> (Outcome, u32) {
--- a/wrenseam/tests/transport.rs
+++ b/wrenseam/tests/transport.rs
@@ -1,10 +1,11 @@
 //! The transport of frames against sockets: what it writes, and when it lets connections go.
 use bramblepath::{Outcome, Settings};
-use std::io::Read;
+use rstest::rstest;
+use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{mpsc, Arc};
 use std::time::{Duration, Instant};
-use wrenseam::core::Message;
+use wrenseam::core::{AttemptKey, Message, Payload, Request};
 use wrenseam::limits::Limits;
 use wrenseam::worker::frames::Frames;
 use wrenseam::worker::{Reports, Transport};
@@ -62,3 +63,65 @@
     }
     assert_eq!(stream.read_to_end(&mut Vec::new()).expect("closed"), 0, "more than the order was written");
 }
+
+fn request(wire_id: u64) -> Arc<Request> {
+    Arc::new(Request {
+        wire_id,
+        class: "tile-render".to_owned(),
+        tenant: String::new(),
+        function: 7,
+        wait: 1_000_000,
+        read_at: Instant::now(),
+        token: None,
+        retry: false,
+        memory_mb: 0.0,
+        lanes: 1,
+        load_time: 0,
+        payload: Payload::Bytes(Vec::new()),
+        held: None,
+    })
+}
+
+/// Reads a command off a connection: its code, id and fields.
+fn command(stream: &mut TcpStream) -> (u8, u64, String) {
+    let mut head = [0; 16];
+    stream.read_exact(&mut head).expect("a command");
+    let fields = usize::from(u16::from_be_bytes([head[2], head[3]]));
+    let body = u32::from_be_bytes([head[4], head[5], head[6], head[7]]) as usize;
+    let mut rest = vec![0; fields + body + 4];
+    stream.read_exact(&mut rest).expect("the rest of it");
+    let id = u64::from_be_bytes(head[8..].try_into().expect("eight bytes"));
+    (head[1], id, String::from_utf8_lossy(&rest[..fields]).into_owned())
+}
+
+fn reply(stream: &mut TcpStream, code: u8, id: u64, fields: &str) {
+    let mut frame = vec![127, code];
+    frame.extend((fields.len() as u16).to_be_bytes());
+    frame.extend([0; 4]);
+    frame.extend(id.to_be_bytes());
+    frame.extend(fields.as_bytes());
+    frame.extend(crc32fast::hash(fields.as_bytes()).to_be_bytes());
+    stream.write_all(&frame).expect("written");
+}
+
+/// The module spreads calls by what workers hold: an answer's load report must not stay behind on the way.
+#[rstest]
+#[case::the_settings_word("detail=resident,use=busy_reqs:2.5;x1:1", Some(2.5))]
+#[case::the_protocols_word("use=x1:3;inflight:7", Some(7.0))]
+#[case::none("detail=resident", None)]
+#[case::no_number("use=busy_reqs:many", None)]
+fn the_load_report_of_an_answer_is_passed_on(#[case] fields: &str, #[case] told: Option<f64>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let (queue, reports) = mpsc::channel();
+    let limits = Arc::new(Limits::new(192, 1024, &Settings::default()));
+    let mut transport = Frames::new(address, limits, Reports(queue));
+    transport.send(AttemptKey { request: 1, attempt: 0 }, &request(9), 1_000_000);
+    let (mut stream, _) = listener.accept().expect("a connection");
+    let (_, id, _) = command(&mut stream);
+    reply(&mut stream, 203, id, fields);
+    match reports.recv_timeout(Duration::from_secs(20)) {
+        Ok(Message::Ended(_, report)) => assert_eq!(report.inflight, told),
+        _ => panic!("the attempt did not end"),
+    }
+}
