Where a probe is dear, ask quiet connections for a word only past twice the aim

Trace lines (n0 to n99): 8,079 'word' against 5,499 orders of the module; half of them 244 ms or less after the call was sent.

Cause: Frames::pulse asks for a word whenever a connection with something open was quiet for 200 ms. With a few front ends a busy connection is never quiet so long; with a hundred it carries one call at a time, and every call that takes 200 ms costs a probe (0.08 each by the settings).

Ruled out: the module's drops (none were ordered) and its trials of suspects (among the questions counted).

Where a probe costs 0.01 or less nothing changes.

--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -124,7 +124,7 @@
             worker_idle: idle.saturating_sub(idle / 5),
             write_stall: Duration::from_secs(5),
             frame_stall: Duration::from_millis(200),
-            link_quiet: Duration::from_millis(200), // such questions are answered in a few ms under load too
+            link_quiet: word_after(settings),
             link_answer: Duration::from_millis(200),
             link_check: 50_000,
             write_check: Duration::from_millis(50),
@@ -139,6 +139,19 @@
     }
 }
 
+/// Such questions are answered in a few ms under load too, but each is priced like a probe. One that may cost
+/// more than a hundredth of a call waits until the call it is for is long late: with many front ends a
+/// connection carries one call at a time, and is quiet whenever that takes long.
+fn word_after(settings: &Settings) -> Duration {
+    let usual = Duration::from_millis(200);
+    let late = settings.classes.iter().map(|c| 2 * c.aim).max().map_or(usual, Duration::from_micros);
+    if settings.probe_price > 0.01 {
+        late.max(usual)
+    } else {
+        usual
+    }
+}
+
 /// Counts the bytes held over all requests against one bound.
 #[derive(Clone, Debug)]
 pub struct Budget {
@@ -213,4 +226,16 @@
         assert!(limits.client_connections > 1024 / 3, "a third of the limit are clients'");
         assert!(2 * limits.client_connections + 100 < 1024);
     }
+
+    /// A word of a quiet connection is priced like a probe: where that is dear, no usual call may cause one.
+    #[test]
+    fn words_that_cost_much_wait_until_calls_are_late() {
+        let class = |aim| bramblepath::ClassSettings { aim, ..Default::default() };
+        let set = |probe_price| {
+            let classes = vec![class(550_000), class(410_000)];
+            Limits::new(192, 1024, &Settings { probe_price, classes, ..Settings::default() }).link_quiet
+        };
+        assert_eq!(set(0.01), Duration::from_millis(200));
+        assert!(set(0.08) > Duration::from_millis(550), "{:?}", set(0.08));
+    }
 }
