Ask no questions where one costs more than a hundredth of a call

Cause: at 0.08 a question, six tell less than the call itself does at the first place of the common draw, where the other front ends' calls load it too; the questions scatter calls over places that let their copies go in between.

Questions to the dead come out of the holds' budget instead, or a refused connection would keep a worker out.

--- a/src/control.rs
+++ b/src/control.rs
@@ -20,9 +20,10 @@
 /// Questions that each call earns at most, and how many can be saved up: a round for some tens of functions.
 const QUESTIONS: (f64, f64) = (0.5, 600.0);
 const HOLDS: f64 = 8.0; // holds that can be saved up, and that each call earns at most
-/// Share of a call's worth that its questions and its holds may cost. A hundred gateways each need what one
-/// would, for a hundredth of the calls: without a bound by price they spend more than loads cost.
-const SPENT: (f64, f64) = (0.005, 0.01);
+/// Share of a call's worth that its holds may cost, and the most that a question may. A hundred gateways each
+/// need what one would, for a hundredth of the calls: without a bound they spend more than loads cost. Where a
+/// question is dearer the call itself goes to the first place of the common draw: that tells as much.
+const SPENT: (f64, f64) = (0.01, 0.01);
 const KEEP_USED: f64 = 0.9; // share of the told keep-alive that a belief lasts: travel time, slack
 const BELIEVED: f64 = 4.0; // most keep-alives for which others' calls are trusted to keep a copy
 const RENEW_AT: f64 = 0.75; // share of a belief's life after which a hold renews it, to arrive in time
@@ -93,7 +94,6 @@
         settings.max_attempts = settings.max_attempts.wrapping_sub(1).saturating_add(1); // 0: no limit
         let spans = [&mut settings.load_window, &mut settings.fall_window, &mut settings.keep];
         spans.into_iter().for_each(|s| *s = (*s).min(LONGEST));
-        let few = f64::from(FEW) / f64::from(settings.gateways.max(1)); // a round at each start is multiplied
         Controller {
             rng: Some(Pcg32::seed_from_u64(seed)),
             class_service: settings.classes.iter().map(|c| c.aim.min(DEFAULT_SPAN) as f64 / 4.0).collect(),
@@ -102,9 +102,7 @@
             load_cap: LOAD_CAP.1 / 2.0,
             trial_gap: TRIALS.0,
             retries: 5.0,
-            questions: QUESTIONS.1
-                * (SPENT.0 / settings.probe_price.max(0.0) / QUESTIONS.0).min(1.0)
-                * few.min(1.0),
+            questions: if settings.probe_price > SPENT.1 { 0.0 } else { QUESTIONS.1 },
             holds: HOLDS,
             set: settings,
             ..Controller::default()
@@ -280,8 +278,9 @@
         self.taken.push_back(now);
         self.retries = (self.retries + RETRY_SHARE).min(20.0);
         let price = self.set.probe_price.max(0.0);
-        self.questions = (self.questions + (SPENT.0 / price).min(QUESTIONS.0)).min(QUESTIONS.1);
-        self.holds = (self.holds + (SPENT.1 / price).min(HOLDS)).min(HOLDS);
+        let earned = if price > SPENT.1 { 0.0 } else { QUESTIONS.0 };
+        self.questions = (self.questions + earned).min(QUESTIONS.1);
+        self.holds = (self.holds + (SPENT.0 / price).min(HOLDS)).min(HOLDS);
         let left = left.min(LONGEST);
         let ends = now + left.saturating_sub(END_MARGIN);
         let tenant = tenant.filter(|&t| t < self.tenant_rate.len());
@@ -682,12 +681,12 @@
     /// Asks a suspect that gave no answer about a function it last held: an answer brings it back.
     fn trials(&mut self, now: Micros, ready: &[usize], out: &mut Vec<Action>) {
         for &w in ready {
-            let may = self.set.orders && self.questions >= 1.0;
+            let may = self.set.orders && self.holds >= 1.0;
             if !self.workers[w].in_doubt() || now < self.workers[w].next_trial || !may {
                 continue;
             }
             self.workers[w].next_trial = now + TRIALS.0;
-            self.questions -= 1.0;
+            self.holds -= 1.0;
             let quiet = |f: &usize| self.functions[*f].at.get(&w).is_none_or(|c| c.order.is_none());
             let held = self.workers[w].holds.iter().copied().chain([self.latest]).filter(quiet);
             let warm = |f: usize| self.functions[f].at.get(&w).is_some_and(|c| c.warm(now));
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -307,3 +307,18 @@
     // Fifty seconds of eight calls each: three suspects share the trials.
     assert!((1..=12).contains(&lost), "{lost} of 400 calls");
 }
+
+/// A question to six places costs more than what it tells: the first call of a function goes out unasked.
+#[test]
+fn where_a_question_is_dear_none_is_asked() {
+    let mut rig = Rig::new(Settings { probe_price: 0.08, load_on_absence: true, ..many(100) }, 40);
+    for id in 1..=100 {
+        let out = call(&mut rig, id, id, 0);
+        assert!(loads(&out, 0).is_empty(), "call {id}: {out:?}");
+        let places = [sends(&out), loads(&out, 1)].concat();
+        assert_eq!(places.len(), 1, "call {id} goes to a place or has one load it: {out:?}");
+        rig.loaded(&places[0], id, 1, Outcome::Ok);
+        answer(&mut rig, id, Outcome::Ok, 50 * MS, Some(1.0));
+        rig.pass(100 * MS);
+    }
+}
