--- a/src/control.rs
+++ b/src/control.rs
@@ -20,9 +20,9 @@
 /// Questions that each call earns at most, and how many can be saved up: a round for some tens of functions.
 const QUESTIONS: (f64, f64) = (0.5, 600.0);
 const HOLDS: f64 = 8.0; // holds that can be saved up, and that each call earns at most
-/// Share of a call's worth that its holds may cost, and the most that a question may. A hundred gateways each
-/// need what one would, for a hundredth of the calls: without a bound they spend more than loads cost. Where a
-/// question is dearer the call itself goes to the first place of the common draw: that tells as much.
+/// Share of a call's worth that its holds may cost, and the most that a question may. A hundred gateways
+/// each need what one would, for a hundredth of the calls: without a bound they spend more than loads cost.
+/// Where a question is dearer the call itself goes to the first place of the common draw: it tells as much.
 const SPENT: (f64, f64) = (0.01, 0.01);
 const KEEP_USED: f64 = 0.9; // share of the told keep-alive that a belief lasts: travel time, slack
 const BELIEVED: f64 = 4.0; // most keep-alives for which others' calls are trusted to keep a copy
