--- a/src/control.rs
+++ b/src/control.rs
@@ -517,7 +517,8 @@
             self.reports = true;
         }
         if !fresh_process {
-            self.judge(now, f, &a, outcome, elapsed, a.cold || warm == Some(false));
+            let over = self.requests.get(&id).is_none_or(|r| r.done);
+            self.judge(now, f, &a, (outcome, elapsed, over), a.cold || warm == Some(false));
         }
         self.served += f64::from(u8::from(outcome == Outcome::Ok));
         self.functions[f].proven |= outcome == Outcome::Ok;
@@ -530,7 +531,8 @@
 
     /// One running figure of how a worker does against what was expected: slow answers, errors, time-outs,
     /// resets, rejections and silence raise it, whatever their cause.
-    fn judge(&mut self, now: Micros, f: usize, a: &Attempt, outcome: Outcome, elapsed: Micros, loaded: bool) {
+    fn judge(&mut self, now: Micros, f: usize, a: &Attempt, how: (Outcome, Micros, bool), loaded: bool) {
+        let (outcome, elapsed, over) = how;
         let (w, class, expected, mut sample) = (a.worker, self.functions[f].class, a.expected, None);
         match outcome {
             Outcome::Ok => {
@@ -555,8 +557,8 @@
             // Of a function never served here the error may lie with the call: no worker is accused.
             Outcome::Error if !self.functions[f].proven => {}
             Outcome::Error | Outcome::Timeout if !a.called_off => sample = Some(BAD),
-            // Called off, at the latest when its time was up: it would have taken longer still.
-            Outcome::Cancelled => {
+            // Called off because its time was up: it would have taken longer still.
+            Outcome::Cancelled if over => {
                 let ratio = (elapsed as f64 / expected).min(BAD);
                 sample = Some(ratio).filter(|&r| r > self.workers[w].health);
             }
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -322,3 +322,20 @@
         rig.pass(100 * MS);
     }
 }
+
+/// A call that was moved on while it had time left proves nothing of the worker it was at.
+#[test]
+fn a_worker_from_which_a_call_was_moved_on_stays_in_the_choice() {
+    let mut rig = Rig::new(many(100), 6);
+    warm_all(&mut rig, 1, 7);
+    rig.pass(SEC);
+    let left = sends(&call(&mut rig, 2, 7, 0)).remove(0);
+    answer(&mut rig, 2, Outcome::Cancelled, 1500 * MS, None);
+    rig.pass(200 * MS);
+    let mut seen = std::collections::BTreeSet::new();
+    for id in 10..70 {
+        seen.extend(sends(&rig.request(id, UNSAFE, 7)));
+        answer(&mut rig, id, Outcome::Ok, 50 * MS, None);
+    }
+    assert!(seen.contains(&left), "{left} is not in {seen:?}");
+}
