Take one descriptor a connection, and bound the workers' connections

Seen in a test that holds the program to 256 descriptors with 120 workers and idle clients at every seat: "fastcgi: accept: Too many open files (os error 24)" and "worker 127.0.0.1:45331: connection ended: Too many open files"; the latter ends as a failed connect, so the module takes sound workers for dead ("module: 33 of 90 workers look bad").

At fault: a connection was cloned for its writer (try_clone in front/fastcgi.rs, front/kserve.rs and worker/frames.rs), so each took two descriptors; clients could take 224 of 256 (limits.rs), and nothing bounded the connections to workers (worker/frames.rs, link).

Now reader and writer share the socket: may lets one coroutine wait on a descriptor, so the reader waits and a writer that finds no room looks again after short pauses. Clients may have two fifths of the descriptors, the program keeps 32, workers get the rest; at that bound the connection idle for longest makes way, and orders leave a quarter to calls.

Ruled out: a leak (the count falls back when clients leave).

--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -379,14 +379,17 @@
                 self.orders.insert(order, (worker.clone(), function, now));
                 // Guards rule 3 whatever the module thinks: no order to load goes to a worker that drains.
                 let may = |p: &&mut Peer| p.member.state == WorkerState::Ready || count == 0;
+                let room = self.make_room(&worker, true);
                 match self.peers.get_mut(&worker).filter(may) {
-                    Some(peer) => peer.transport.order(order, function, count),
+                    Some(peer) if room => peer.transport.order(order, function, count),
+                    Some(_) => self.reports.ordered(order, Outcome::Moot, 0),
                     None => self.reports.ordered(order, Outcome::ConnectFailed, 0),
                 }
                 self.timers.set(now + self.limits.order, Due::Order(order));
             }
             Action::Drop { worker, function } => {
-                if let Some(peer) = self.peers.get_mut(&worker) {
+                let room = self.make_room(&worker, true);
+                if let Some(peer) = self.peers.get_mut(&worker).filter(|_| room) {
                     peer.transport.unload(function);
                 }
             }
@@ -395,6 +398,26 @@
         }
     }
 
+    /// Whether an exchange with a worker finds a connection or may open one. Guards the descriptors: where
+    /// connections are at their bound, the one that has been idle for longest is closed for it. Orders leave a
+    /// quarter to calls: a new function may be asked for at all workers at once.
+    fn make_room(&mut self, worker: &str, order: bool) -> bool {
+        if !self.peers.get(worker).is_some_and(|p| p.transport.connections().1) {
+            return true;
+        }
+        let open: usize = self.peers.values().map(|p| p.transport.connections().0).sum();
+        let most = self.limits.worker_connections;
+        if open < if order { most - most / 4 } else { most } {
+            return true;
+        }
+        let idle = self.peers.values_mut().filter_map(|p| Some((p.transport.idle_since()?, p)));
+        let oldest = idle.min_by_key(|(since, _)| *since).map(|(_, p)| p.transport.close_idle());
+        if oldest.is_none() {
+            note!("core: nothing sent to {worker}: {open} connections to workers are in use");
+        }
+        oldest.is_some()
+    }
+
     fn send(&mut self, now: Micros, id: u64, worker: String, timeout: Micros) {
         let Some(open) = self.requests.get_mut(&id) else { return };
         let key = AttemptKey { request: id, attempt: open.attempts.len() };
@@ -403,10 +426,12 @@
         let budget = if timeout == 0 { left } else { timeout.min(left) };
         let Some(open) = self.requests.get_mut(&id) else { return };
         open.attempts.push(Attempt { worker: worker.clone(), sent: now, open: true });
+        let owed = !open.answered && budget > 0;
+        let room = owed && self.make_room(&worker, false);
         let ready = |p: &&mut Peer| p.member.state == WorkerState::Ready;
         match self.peers.get_mut(&worker).filter(ready) {
-            Some(peer) if !open.answered && budget > 0 => {
-                peer.transport.send(key, &open.request, budget);
+            Some(peer) if room => {
+                peer.transport.send(key, &request, budget);
                 self.timers.set(now.saturating_add(budget), Due::Attempt(key));
             }
             _ => {
--- a/wrenseam/src/front/fastcgi.rs
+++ b/wrenseam/src/front/fastcgi.rs
@@ -2,9 +2,8 @@
 use super::{function, token_fits, Doors, Figures, Reading};
 use crate::core::{Answer, Client, Message, Payload, Request};
 use crate::limits::{Held, Limits};
-use crate::net::{timed_out, Occupant, Outbox, Seat};
+use crate::net::{timed_out, Occupant, Outbox, Seat, Socket};
 use crate::ring::Ring;
-use may::net::TcpStream;
 use may::sync::Mutex;
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
@@ -153,9 +152,9 @@
 }
 
 /// Serves one connection until it ends.
-pub fn serve(stream: TcpStream, doors: &Doors, seat: Seat) {
+pub fn serve(stream: Socket, doors: &Doors, seat: Seat) {
     let peer = stream.peer_addr().map_or("?".to_owned(), |p| p.to_string());
-    let out = match stream.try_clone().and_then(|s| doors.outbox(s)) {
+    let out = match doors.outbox(stream.clone()) {
         Ok(out) => out,
         Err(e) => return note!("fastcgi {peer}: closed: {e}"),
     };
@@ -179,9 +178,9 @@
 }
 
 impl Reader<'_> {
-    fn run(&mut self, mut stream: TcpStream) -> Result<(), String> {
+    fn run(&mut self, mut stream: Socket) -> Result<(), String> {
         let limits = self.doors.limits.clone();
-        stream.set_read_timeout(Some(limits.client_check)).map_err(|e| e.to_string())?;
+        stream.set_read_timeout(limits.client_check).map_err(|e| e.to_string())?;
         let mut ring = Ring::new(limits.client_ring);
         let mut got = Vec::new();
         let (mut looked, mut record_since, mut fills) = (Instant::now(), Instant::now(), 0u32);
--- a/wrenseam/src/front/kserve.rs
+++ b/wrenseam/src/front/kserve.rs
@@ -3,11 +3,10 @@
 use crate::core::{Answer, Client, Message, Payload, Request};
 use crate::http::{response, Head};
 use crate::limits::Limits;
-use crate::net::{timed_out, Occupant, Outbox, Seat};
+use crate::net::{timed_out, Occupant, Outbox, Seat, Socket};
 use crate::ring::Ring;
 use crate::worker::kserve::wrap_answer;
 use bramblepath::json::{flag, number, object, parse, part, text};
-use may::net::TcpStream;
 use may::sync::Mutex;
 use miniserde::json::{self, Object, Value};
 use std::collections::VecDeque;
@@ -86,20 +85,20 @@
 }
 
 /// Serves one v2 client connection until it ends.
-pub fn serve(stream: TcpStream, doors: &Doors, seat: Seat) {
+pub fn serve(stream: Socket, doors: &Doors, seat: Seat) {
     connection(stream, doors, seat, "kserve", |reader, tag, head, body| reader.kserve(tag, head, body));
 }
 
 /// Serves one connection of the read-only administration API.
-pub fn serve_admin(stream: TcpStream, doors: &Doors, seat: Seat) {
+pub fn serve_admin(stream: Socket, doors: &Doors, seat: Seat) {
     connection(stream, doors, seat, "admin", |reader, tag, head, body| reader.admin(tag, head, body));
 }
 
 type Handle = fn(&Reader<'_>, u64, &Head, Vec<u8>) -> Reply;
 
-fn connection(stream: TcpStream, doors: &Doors, seat: Seat, front: &'static str, handle: Handle) {
+fn connection(stream: Socket, doors: &Doors, seat: Seat, front: &'static str, handle: Handle) {
     let peer = stream.peer_addr().map_or("?".to_owned(), |p| p.to_string());
-    let out = match stream.try_clone().and_then(|s| doors.outbox(s)) {
+    let out = match doors.outbox(stream.clone()) {
         Ok(out) => out,
         Err(e) => return note!("{front} {peer}: closed: {e}"),
     };
@@ -132,12 +131,12 @@
 }
 
 impl Reader<'_> {
-    fn run(&self, mut stream: TcpStream) -> Result<(), String> {
+    fn run(&self, mut stream: Socket) -> Result<(), String> {
         let limits = &self.doors.limits;
         let (mut ring, mut head, mut tag) = (Ring::new(limits.client_ring), Vec::new(), 0u64);
         let mut body: Option<(Head, Vec<u8>)> = None;
         let mut part: Option<(Instant, Reading)> = None; // of a request that has not come whole
-        stream.set_read_timeout(Some(limits.client_check)).map_err(|e| e.to_string())?;
+        stream.set_read_timeout(limits.client_check).map_err(|e| e.to_string())?;
         loop {
             match ring.fill(&mut stream) {
                 Ok(0) => return Ok(()),
@@ -205,7 +204,7 @@
     }
 
     /// After the last request: nothing more is read, but the client's leaving is seen.
-    fn until_end(&self, ring: &mut Ring, stream: &mut TcpStream) -> Result<(), String> {
+    fn until_end(&self, ring: &mut Ring, stream: &mut Socket) -> Result<(), String> {
         loop {
             ring.truncate(0);
             match ring.fill(stream) {
--- a/wrenseam/src/front/mod.rs
+++ b/wrenseam/src/front/mod.rs
@@ -4,8 +4,8 @@
 
 use crate::core::{Message, Shared};
 use crate::limits::{Budget, Limits};
-use crate::net::{spawn, Outbox, Seat, Seats};
-use may::net::{TcpListener, TcpStream};
+use crate::net::{spawn, Outbox, Seat, Seats, Socket};
+use may::net::TcpListener;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::Sender;
 use std::sync::Arc;
@@ -36,15 +36,13 @@
 
 impl Doors {
     /// Starts the writer of a client connection.
-    pub fn outbox(&self, stream: TcpStream) -> std::io::Result<Outbox> {
+    pub fn outbox(&self, stream: Socket) -> std::io::Result<Outbox> {
         Outbox::start(stream, &self.limits, &self.budget, &self.unsent)
     }
 }
 
 /// Accepts connections until the listeners close, each served by a coroutine of its own.
-pub fn accept(
-    listener: &TcpListener, doors: &Doors, front: &'static str, serve: fn(TcpStream, &Doors, Seat),
-) {
+pub fn accept(listener: &TcpListener, doors: &Doors, front: &'static str, serve: fn(Socket, &Doors, Seat)) {
     loop {
         match listener.accept() {
             Ok((stream, peer)) => {
@@ -55,7 +53,7 @@
                 };
                 let inside = doors.clone();
                 let _ = stream.set_nodelay(true); // a connection without it is only slower
-                if let Err(e) = spawn(doors.limits.stack, move || serve(stream, &inside, seat)) {
+                if let Err(e) = spawn(doors.limits.stack, move || serve(Socket::new(stream), &inside, seat)) {
                     note!("{front}: connection of {peer} closed: {e}");
                 }
                 // Lets the connection be read before the next is taken: many that come at once would else
--- a/wrenseam/src/lib.rs
+++ b/wrenseam/src/lib.rs
@@ -28,9 +28,7 @@
 /// Runs one front end until it has been told to stop and nothing is open.
 pub fn run(config: Config, signals: signal_hook::iterator::Signals) -> Result<(), String> {
     let limits = Arc::new(config.limits);
-    // One core is ours: more scheduler threads would only take turns on it.
-    may::config().set_workers(1).set_stack_size(limits.stack / size_of::<usize>()).set_pool_capacity(64);
-    may::config().set_worker_pin(false);
+    net::schedule(&limits);
     let (queue, inbox) = mpsc::channel();
     let shared = Arc::new(Shared::default());
     let doors = Doors {
@@ -98,7 +96,7 @@
 }
 
 fn listen(
-    address: SocketAddr, doors: &Doors, name: &'static str, serve: fn(may::net::TcpStream, &Doors, net::Seat),
+    address: SocketAddr, doors: &Doors, name: &'static str, serve: fn(net::Socket, &Doors, net::Seat),
 ) -> Result<Arc<TcpListener>, String> {
     let listener = TcpListener::bind(address).map_err(|e| format!("{address}: {e}"))?;
     let (listener, doors) = (Arc::new(listener), doors.clone());
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -4,6 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+/// Descriptors of the program's own: listeners, signals, scheduler, log and board, and room for connections
+/// that are just closing.
+const OWN: usize = 32;
+
 /// Sizes, counts and times.
 #[derive(Clone, Debug)]
 pub struct Limits {
@@ -17,6 +21,8 @@
     pub requests_per_connection: usize,
     /// Client connections held at once, over all fronts.
     pub client_connections: usize,
+    /// Connections to workers held at once.
+    pub worker_connections: usize,
     /// Bytes of bodies and unsent answers held over all requests.
     pub held_bytes: usize,
     /// Bytes of answers that may wait on one client connection.
@@ -86,19 +92,21 @@
 impl Limits {
     /// From the platform's memory and descriptor limits and the settings.
     pub fn new(memory_mb: u64, sockets: u64, settings: &Settings) -> Self {
-        // A client connection takes two descriptors (one a direction). An eighth of all is kept for workers,
-        // the board and the program's own.
+        // A connection takes one descriptor. Usual clients hold a third of all at most, idle ones may come on
+        // top; the rest is the workers', of which there may be many, and the program's own.
         let sockets = sockets.clamp(64, 1 << 20) as usize;
         let memory = memory_mb.clamp(32, 1 << 20) as usize * 1024 * 1024;
         let span =
             |told: Micros, else_ms: u64| Duration::from_micros(if told > 0 { told } else { else_ms * 1000 });
+        let client_connections = sockets * 2 / 5;
         let idle = span(settings.connection_idle, 15_000);
         Limits {
             body: 16 * 1024,
             head: 16 * 1024,
             answer: 1024 * 1024,
             requests_per_connection: 32,
-            client_connections: (sockets - sockets / 8) / 2,
+            client_connections,
+            worker_connections: sockets - client_connections - OWN,
             held_bytes: memory / 4, // an attempt's frame is a second copy, and rings and stacks come on top
             unsent_per_connection: 1024 * 1024,
             client_ring: 8 * 1024,
--- a/wrenseam/src/net.rs
+++ b/wrenseam/src/net.rs
@@ -5,11 +5,11 @@
 use may::sync::mpsc::{channel, Receiver, Sender};
 use may::sync::Mutex;
 use std::collections::BTreeMap;
-use std::io::{self, ErrorKind, Write};
-use std::net::Shutdown;
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 static CONNECTIONS: AtomicU64 = AtomicU64::new(1);
 
@@ -18,6 +18,13 @@
     CONNECTIONS.fetch_add(1, Ordering::Relaxed)
 }
 
+/// Sets the scheduler of coroutines up; called before the first is run.
+pub fn schedule(limits: &Limits) {
+    // One core is ours: more scheduler threads would only take turns on it.
+    may::config().set_workers(1).set_stack_size(limits.stack / size_of::<usize>()).set_pool_capacity(64);
+    may::config().set_worker_pin(false);
+}
+
 /// Runs a coroutine of this stack size. May's own default would be smaller and unstated.
 pub fn spawn(stack: usize, run: impl FnOnce() + Send + 'static) -> io::Result<()> {
     // No shared state is left half-done by a panic: each connection's state belongs to its coroutines.
@@ -30,6 +37,62 @@
     matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock | ErrorKind::Interrupted)
 }
 
+const WRITE_PAUSES: (Duration, Duration) = (Duration::from_millis(1), Duration::from_millis(16));
+
+/// A connection that one coroutine reads and another writes, through one descriptor. May lets a single
+/// coroutine wait on a descriptor: the reader is that one, and a writer that finds no room looks again after
+/// pauses. A second descriptor for the writer would halve the connections that fit under the platform's limit.
+#[derive(Clone)]
+pub struct Socket(Arc<TcpStream>);
+
+impl Socket {
+    /// Shares a connection.
+    pub fn new(stream: TcpStream) -> Self {
+        Socket(Arc::new(stream))
+    }
+
+    /// A read that brings nothing within this ends with an error; see [`timed_out`].
+    pub fn set_read_timeout(&self, within: Duration) -> io::Result<()> {
+        self.0.set_read_timeout(Some(within))
+    }
+
+    /// Where the other side is.
+    pub fn peer_addr(&self) -> io::Result<SocketAddr> {
+        self.0.peer_addr()
+    }
+
+    /// Ends the connection both ways; whoever reads it sees the end.
+    pub fn close(&self) {
+        let _ = self.0.shutdown(Shutdown::Both); // fails where the other side has ended it already
+    }
+
+    /// One write of at least a byte; an error, see [`timed_out`], if there is no room within this time.
+    pub fn write_within(&self, bytes: &[u8], within: Duration) -> io::Result<usize> {
+        let (since, mut pause) = (Instant::now(), WRITE_PAUSES.0);
+        loop {
+            match self.0.inner().write(bytes) {
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) if e.kind() == ErrorKind::WouldBlock && since.elapsed() < within => {
+                    may::coroutine::sleep(pause.min(within));
+                    pause = (2 * pause).min(WRITE_PAUSES.1);
+                }
+                ended => return ended,
+            }
+        }
+    }
+}
+
+impl Read for Socket {
+    fn read(&mut self, to: &mut [u8]) -> io::Result<usize> {
+        loop {
+            match self.0.inner().read(to) {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => self.0.peek(&mut [0])?, // waits
+                ended => return ended,
+            };
+        }
+    }
+}
+
 enum Chunk {
     Bytes(Vec<u8>, Option<Held>),
     Close,
@@ -48,7 +111,7 @@
 impl Outbox {
     /// Starts the writer of a connection. `unsent` counts bytes over all connections.
     pub fn start(
-        stream: TcpStream, limits: &Arc<Limits>, budget: &Budget, unsent: &Arc<AtomicUsize>,
+        stream: Socket, limits: &Arc<Limits>, budget: &Budget, unsent: &Arc<AtomicUsize>,
     ) -> io::Result<Outbox> {
         let (chunks, queue) = channel();
         let waiting = Arc::new(AtomicUsize::new(0));
@@ -81,32 +144,28 @@
 }
 
 fn write_out(
-    mut stream: TcpStream, queue: &Receiver<Chunk>, limits: &Limits, waiting: &AtomicUsize,
-    unsent: &AtomicUsize,
+    stream: Socket, queue: &Receiver<Chunk>, limits: &Limits, waiting: &AtomicUsize, unsent: &AtomicUsize,
 ) {
     let mut ring = Ring::new(limits.client_ring);
-    let _ = stream.set_write_timeout(Some(limits.write_stall));
     let mut broken = false;
     while let Ok(Chunk::Bytes(bytes, _held)) = queue.recv() {
         let (mut rest, all) = (&bytes[..], bytes.len());
         while !broken && (!rest.is_empty() || !ring.is_empty()) {
             rest = &rest[ring.push(rest)..];
-            match stream.write(ring.front()) {
+            match stream.write_within(ring.front(), limits.write_stall) {
                 Ok(n) if n > 0 => ring.consume(n),
-                Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 ended => {
                     let why = ended.err().map_or("closed".to_owned(), |e| e.to_string());
                     note!("client: connection given up while writing an answer: {why}");
                     broken = true;
-                    let _ = stream.shutdown(Shutdown::Both);
+                    stream.close();
                 }
             }
         }
         waiting.fetch_sub(all, Ordering::Relaxed);
         unsent.fetch_sub(all, Ordering::AcqRel);
     }
-    let _ = stream.shutdown(Shutdown::Both); // the reader sees the end and leaves
-                                             // What is still queued will not be written.
+    stream.close(); // the reader sees the end and leaves; what is still queued will not be written
     while let Ok(chunk) = queue.try_recv() {
         if let Chunk::Bytes(bytes, _) = chunk {
             unsent.fetch_sub(bytes.len(), Ordering::AcqRel);
--- a/wrenseam/src/worker/frames.rs
+++ b/wrenseam/src/worker/frames.rs
@@ -2,15 +2,14 @@
 use super::{Reports, Transport};
 use crate::core::{AttemptKey, Payload, Report, Request};
 use crate::limits::Limits;
-use crate::net::{connection_number, spawn, timed_out};
+use crate::net::{connection_number, spawn, timed_out, Socket};
 use crate::ring::Ring;
 use bramblepath::{FunctionId, Micros, Outcome};
 use may::net::TcpStream;
 use may::sync::mpsc::{channel, Receiver, Sender};
 use may::sync::Mutex;
 use std::collections::{BTreeMap, VecDeque};
-use std::io::Write;
-use std::net::{Shutdown, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -195,16 +194,27 @@
         Frames { address, limits, reports, links: Vec::new() }
     }
 
-    /// A connection with room, a new one if need be.
-    fn link(&mut self) -> &mut Link {
+    /// Where a connection with room stands.
+    fn usable(&self) -> Option<usize> {
         let streams = self.limits.streams;
-        let usable = |l: &Link| {
+        self.links.iter().position(|l| {
             let state = &l.state;
             !state.broken.load(Ordering::Acquire)
                 && !state.retired.load(Ordering::Acquire)
                 && state.load.load(Ordering::Acquire) < streams
-        };
-        let at = self.links.iter().position(usable).unwrap_or_else(|| {
+        })
+    }
+
+    /// The connection without an exchange that was used least recently.
+    fn idle(&self) -> Option<usize> {
+        let open = |l: &Link| !l.state.broken.load(Ordering::Acquire);
+        let idle = |l: &Link| open(l) && l.state.load.load(Ordering::Acquire) == 0;
+        (0..self.links.len()).filter(|&at| idle(&self.links[at])).min_by_key(|&at| self.links[at].used)
+    }
+
+    /// A connection with room, a new one if need be.
+    fn link(&mut self) -> &mut Link {
+        let at = self.usable().unwrap_or_else(|| {
             let (commands, queue) = channel();
             let state = Arc::new(State::default());
             let (address, limits) = (self.address, self.limits.clone());
@@ -268,6 +278,21 @@
         self.links.is_empty()
     }
 
+    fn connections(&self) -> (usize, bool) {
+        let open = |l: &&Link| !l.state.broken.load(Ordering::Acquire);
+        (self.links.iter().filter(open).count(), self.usable().is_none())
+    }
+
+    fn idle_since(&self) -> Option<Instant> {
+        self.idle().map(|at| self.links[at].used)
+    }
+
+    fn close_idle(&mut self) {
+        if let Some(at) = self.idle() {
+            self.links.swap_remove(at); // without its sender the writer closes once it has written all
+        }
+    }
+
     fn order(&mut self, order: u64, function: FunctionId, copies: u32) {
         // Orders' ids come from the far end of the range, away from chance: clients draw theirs at random.
         let id = u64::MAX - order;
@@ -395,10 +420,10 @@
 
     fn connection(&mut self, address: SocketAddr, queue: &Receiver<Command>) -> Result<(), String> {
         let text = |e: std::io::Error| e.to_string();
-        let mut stream = TcpStream::connect_timeout(&address, self.limits.connect).map_err(text)?;
+        let stream = TcpStream::connect_timeout(&address, self.limits.connect).map_err(text)?;
         stream.set_nodelay(true).map_err(text)?;
-        stream.set_write_timeout(Some(self.limits.write_check)).map_err(text)?;
-        let reader = stream.try_clone().map_err(text)?;
+        let stream = Socket::new(stream);
+        let reader = stream.clone();
         let (state, reports, limits) = (self.state.clone(), self.reports.clone(), self.limits.clone());
         spawn(self.limits.stack, move || {
             if let Err(why) = read_answers(reader, &state, &reports, &limits) {
@@ -412,14 +437,14 @@
             // Nothing is left to write here: wait for more. The core lets go of idle connections.
             let Ok(command) = queue.recv() else { break };
             self.waiting.push_back(command);
-            end = self.write_all(&mut stream, queue);
+            end = self.write_all(&stream, queue);
         }
-        let _ = stream.shutdown(Shutdown::Both); // the reader sees the end and leaves
+        stream.close(); // the reader sees the end and leaves
         end
     }
 
     /// Writes until nothing waits.
-    fn write_all(&mut self, stream: &mut TcpStream, queue: &Receiver<Command>) -> Result<(), String> {
+    fn write_all(&mut self, stream: &Socket, queue: &Receiver<Command>) -> Result<(), String> {
         let mut stalled = Duration::ZERO;
         loop {
             while let Ok(command) = queue.try_recv() {
@@ -436,7 +461,7 @@
             if self.ring.is_empty() {
                 return Ok(());
             }
-            match stream.write(self.ring.front()) {
+            match stream.write_within(self.ring.front(), self.limits.write_check) {
                 Ok(0) => return Err("closed".to_owned()),
                 Ok(n) => {
                     stalled = Duration::ZERO;
@@ -554,11 +579,9 @@
 }
 
 /// Reads answers until the connection ends.
-fn read_answers(
-    mut stream: TcpStream, state: &State, reports: &Reports, limits: &Limits,
-) -> Result<(), String> {
+fn read_answers(mut stream: Socket, state: &State, reports: &Reports, limits: &Limits) -> Result<(), String> {
     let (mut ring, mut decoder) = (Ring::new(limits.worker_ring), Decoder::default());
-    stream.set_read_timeout(Some(limits.frame_stall)).map_err(|e| e.to_string())?;
+    stream.set_read_timeout(limits.frame_stall).map_err(|e| e.to_string())?;
     let end = loop {
         match ring.fill(&mut stream) {
             Ok(0) => break Ok(()),
@@ -574,7 +597,7 @@
             Err(why) => break Err(format!("bad frame: {why}")),
         }
     };
-    let _ = stream.shutdown(Shutdown::Both);
+    stream.close();
     end
 }
 
--- a/wrenseam/src/worker/kserve.rs
+++ b/wrenseam/src/worker/kserve.rs
@@ -177,6 +177,16 @@
         self.state.load.load(Ordering::Acquire) == 0
     }
 
+    fn connections(&self) -> (usize, bool) {
+        (self.state.lanes.load(Ordering::Acquire), false) // bounded by itself: see `Limits::lanes_per_worker`
+    }
+
+    fn idle_since(&self) -> Option<Instant> {
+        None // a lane closes its connection by itself
+    }
+
+    fn close_idle(&mut self) {}
+
     fn order(&mut self, order: u64, function: FunctionId, copies: u32) {
         let bytes = if copies > 0 {
             let told = map(vec![("slots_up", Value::Number(Number::U64(copies.into())))]);
--- a/wrenseam/src/worker/mod.rs
+++ b/wrenseam/src/worker/mod.rs
@@ -8,6 +8,7 @@
 use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
 use std::sync::Arc;
+use std::time::Instant;
 
 /// The core's queue, as transports see it.
 #[derive(Clone)]
@@ -35,6 +36,12 @@
     fn lapse(&mut self, order: u64);
     /// Whether no connection is left.
     fn is_idle(&self) -> bool;
+    /// Connections that are open or being opened, and whether the next exchange needs another.
+    fn connections(&self) -> (usize, bool);
+    /// The connection that has been without an exchange for longest: since when.
+    fn idle_since(&self) -> Option<Instant>;
+    /// Closes that connection.
+    fn close_idle(&mut self);
     /// Orders the worker to hold copies; 0 only asks.
     fn order(&mut self, order: u64, function: FunctionId, copies: u32);
     /// Has idle copies unloaded.
--- a/wrenseam/tests/common/mod.rs
+++ b/wrenseam/tests/common/mod.rs
@@ -35,7 +35,7 @@
 use std::time::{Duration, Instant};
 
 pub const FUNCTION: &str = "7f3a9c21e0b4d655";
-const PATIENCE: Duration = Duration::from_secs(10);
+pub const PATIENCE: Duration = Duration::from_secs(10);
 const QUIET: Duration = Duration::from_millis(300);
 
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -63,6 +63,7 @@
     pub kserve: SocketAddr,
     pub admin: SocketAddr,
     calls: Receiver<Call>,
+    log: Receiver<String>,
     boards: [Board; 2],
     board: Cell<usize>,
     config: (PathBuf, String),
@@ -71,7 +72,7 @@
 /// A stand-in notice board: where it listens, and its calls with the last event that each told.
 type Board = (SocketAddr, Receiver<(String, TcpStream)>);
 
-const SETTINGS: &str = r#"{"balancers":1,"classes":[
+pub const SETTINGS: &str = r#"{"balancers":1,"classes":[
  {"effect":"retryable","goal-time":400,"key-scope":"all","memory-span":5000,"name":"tile-render","worth":1},
  {"effect":"dedup","goal-time":400,"key-scope":"zone","memory-span":5000,"name":"tile-order","worth":3}],
  "failure-domains":["hall-a","hall-b"],"flavors":["std"],"tenants":[{"name":"acme","portion":1,"quota-per-s":70}],
@@ -81,15 +82,58 @@
  "retry-after":true,"second-copies":false,"streams-per-conn":100},"rules":{"cold-from":0.2,"fall":1000,
  "fall-multiple":2,"warm-within":17000}}"#;
 
+/// What a test may want otherwise of the program and what surrounds it.
+pub struct Plan {
+    pub speech: Speech,
+    /// Where the workers w0, w1, ... listen; none: two stand-ins in each of two halls.
+    pub workers: Vec<SocketAddr>,
+    /// Descriptors: told, and held to.
+    pub sockets: u64,
+    pub settings: String,
+    /// The events told at the start, in place of one that lists the workers.
+    pub known: Option<String>,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        let (speech, workers, sockets) = (Speech::Platform, Vec::new(), 256);
+        Plan { speech, workers, sockets, settings: SETTINGS.to_owned(), known: None }
+    }
+}
+
+/// One instance of the board's list, in the board's form.
+pub fn instance(id: &str, address: SocketAddr, state: &str, started_ms: u64) -> String {
+    format!(
+        r#"{{"instanceId":"{id}","hostPort":"{address}","zone":"hall-a","machineType":"std","cell":0,"lifecycle":"{state}","startedAtMs":{started_ms}}}"#
+    )
+}
+
 impl Stage {
     pub fn new(speech: Speech) -> Stage {
+        Stage::with(Plan { speech, ..Plan::default() })
+    }
+
+    /// The running program, as planned, once it is ready.
+    pub fn with(plan: Plan) -> Stage {
+        let stage = Stage::start(plan);
+        while !get(stage.admin, "/healthz").starts_with("HTTP/1.1 200") {
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        stage
+    }
+
+    /// The running program, as planned, as soon as it listens.
+    pub fn start(plan: Plan) -> Stage {
         static RUNS: AtomicU64 = AtomicU64::new(0);
         let run = RUNS.fetch_add(1, Ordering::Relaxed);
         let folder =
             std::path::Path::new(env!("CARGO_TARGET_TMPDIR")).join(format!("{}-{run}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a folder for the files");
         let (seen, calls) = channel();
-        let workers: Vec<SocketAddr> = (0..4).map(|n| worker(speech, n / 2, seen.clone())).collect();
+        let workers: Vec<SocketAddr> = match &plan.workers[..] {
+            [] => (0..4).map(|n| worker(plan.speech, n / 2, seen.clone())).collect(),
+            given => given.to_vec(),
+        };
         let hall = |n: usize| if n < 2 { "hall-a" } else { "hall-b" };
         let (mut notices, mut localities) = (Vec::new(), Vec::new());
         for (n, address) in workers.iter().enumerate() {
@@ -102,7 +146,7 @@
                 r#"{{"locality":{{"zone":"{hall}"}},"lb_endpoints":[{{"endpoint":{{"address":{{"socket_address":{{"address":"127.0.0.1","port_value":{port}}}}}}}}}]}}"#
             ));
         }
-        let (known, endpoints) = match speech {
+        let (known, endpoints) = match plan.speech {
             Speech::Platform => (notices.join(","), String::new()),
             Speech::Kserve => (String::new(), localities.join(",")),
         };
@@ -110,9 +154,11 @@
             std::fs::write(folder.join(name), text).expect("a file");
             folder.join(name)
         };
+        let whole = format!(r#"{{"rev":1,"pool":{{"reset":true,"instances":[{known}]}}}}"#);
+        let (settings, sockets, known) = (&plan.settings, plan.sockets, plan.known.unwrap_or(whole));
         let told = format!(
-            r#"{{"name":"t","seed":"2a","limits":{{"memory_mb":192,"sockets":256}},"settings":{SETTINGS},
-                "board":"BOARD","known":{{"rev":1,"notices":[{{"rev":1,"pool":{{"reset":true,"instances":[{known}]}}}}]}}}}"#
+            r#"{{"name":"t","seed":"2a","limits":{{"memory_mb":192,"sockets":{sockets}}},"settings":{settings},
+                "board":"BOARD","known":{{"rev":1,"notices":[{known}]}}}}"#
         );
         let boards = [board(), board()];
         let config = write("config.json", told.replace("BOARD", &boards[0].0.to_string()));
@@ -124,7 +170,8 @@
             "kserve.json",
             r#"{"listen":"127.0.0.1:0","admin":"127.0.0.1:0","endpoints":"endpoints.json"}"#.to_owned(),
         );
-        let mut child = Command::new(env!("CARGO_BIN_EXE_wrenseam"))
+        let mut child = Command::new("sh")
+            .args(["-c", &format!("ulimit -n {sockets}; exec \"$0\""), env!("CARGO_BIN_EXE_wrenseam")])
             .env("NODE_CONFIG", &config)
             .env("NODE_LISTEN", "127.0.0.1:0")
             .env("WRENSEAM_KSERVE", kserve)
@@ -140,15 +187,37 @@
         };
         let (front, kserve, admin) = (listens(), listens(), listens());
         // The rest of the log is read, so that it cannot fill up, and shown with a failed test.
+        let (tell, log) = channel();
         std::thread::spawn(move || {
-            lines.map_while(Result::ok).for_each(|line| eprintln!("  program: {line}"))
+            lines.map_while(Result::ok).for_each(|line| {
+                eprintln!("  program: {line}");
+                let _ = tell.send(line); // the test may have ended
+            })
         });
         let (board, config) = (Cell::new(0), (config, told));
-        let stage = Stage { child, front, kserve, admin, calls, boards, board, config };
-        while !get(stage.admin, "/healthz").starts_with("HTTP/1.1 200") {
-            std::thread::sleep(Duration::from_millis(10));
-        }
-        stage
+        Stage { child, front, kserve, admin, calls, log, boards, board, config }
+    }
+
+    /// Waits for a line of the log that holds this.
+    pub fn logged(&self, part: &str) {
+        let until = Instant::now() + PATIENCE;
+        while !self.log.recv_timeout(until - Instant::now()).expect(part).contains(part) {}
+    }
+
+    /// The descriptors that the program holds.
+    pub fn descriptors(&self) -> usize {
+        std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("it runs").count()
+    }
+
+    /// The next call of the board named now: the last event it told, and the connection.
+    pub fn board_call(&self) -> (String, TcpStream) {
+        self.boards[self.board.get()].1.recv_timeout(PATIENCE).expect("a call of the board")
+    }
+
+    /// The same, of calls that come from now on: each is given up when the board has been silent for long.
+    pub fn new_board_call(&self) -> (String, TcpStream) {
+        while self.boards[self.board.get()].1.try_recv().is_ok() {}
+        self.board_call()
     }
 
     /// Sends SIGTERM and waits for the program's end.
@@ -157,13 +226,13 @@
         self.child.wait().expect("it ends").success()
     }
 
-    fn signal(&self, name: &str) {
+    pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().expect("kill runs").success());
     }
 
     /// Names the other board in the configuration, or leaves no readable one, and has it read again.
-    fn reload(&self, broken: bool) {
+    pub fn reload(&self, broken: bool) {
         let text = if broken {
             "{".to_owned()
         } else {
@@ -175,7 +244,7 @@
     }
 
     /// Waits until the administration API shows this state of a worker.
-    fn listed(&self, worker: &str, state: &str, context: &str) {
+    pub fn listed(&self, worker: &str, state: &str, context: &str) {
         let since = Instant::now();
         loop {
             let told = get(self.admin, "/v1/state");
@@ -493,7 +562,7 @@
     (address, calls)
 }
 
-fn frame(code: u8, id: u64, fields: &str, body: &[u8]) -> Vec<u8> {
+pub fn frame(code: u8, id: u64, fields: &str, body: &[u8]) -> Vec<u8> {
     let content = [fields.as_bytes(), body].concat();
     let mut out = vec![127, code];
     out.extend((fields.len() as u16).to_be_bytes());
@@ -504,27 +573,66 @@
     out
 }
 
-fn frames(mut stream: TcpStream, hall: usize, seen: &Sender<Call>) {
-    let hush = Arc::new(AtomicBool::new(false));
-    while let Ok(header) = exactly(&mut stream, 16) {
+/// A command as a worker reads it.
+pub struct Received {
+    pub code: u8,
+    pub id: u64,
+    pub fields: String,
+    pub body: Vec<u8>,
+}
+
+impl Received {
+    pub fn read(stream: &mut impl Read) -> std::io::Result<Received> {
+        let header = exactly(stream, 16)?;
         let length = usize::from(u16::from_be_bytes([header[2], header[3]]));
         let body = u32::from_be_bytes(header[4..8].try_into().expect("four")) as usize;
         let id = u64::from_be_bytes(header[8..].try_into().expect("eight"));
-        let Ok(content) = exactly(&mut stream, length + body + 4) else { return };
-        let (content_part, check) = content.split_at(length + body);
-        assert_eq!((header[0], check), (126, &crc32fast::hash(content_part).to_be_bytes()[..]));
-        let fields = String::from_utf8_lossy(&content_part[..length]).into_owned();
-        let field = |name: &str| {
-            let found = fields.split(',').find_map(|p| p.strip_prefix(name)?.strip_prefix('='));
-            found.unwrap_or("-").to_owned()
-        };
-        match header[1] {
+        let content = exactly(stream, length + body + 4)?;
+        let (content, check) = content.split_at(length + body);
+        assert_eq!((header[0], check), (126, &crc32fast::hash(content).to_be_bytes()[..]));
+        let fields = String::from_utf8_lossy(&content[..length]).into_owned();
+        Ok(Received { code: header[1], id, fields, body: content[length..].to_vec() })
+    }
+
+    pub fn field(&self, name: &str) -> &str {
+        let found = self.fields.split(',').find_map(|p| p.strip_prefix(name)?.strip_prefix('='));
+        found.unwrap_or("-")
+    }
+}
+
+/// A worker that serves every call with its own body, and answers orders as if all stood loaded.
+pub fn obliging_worker() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let serve = |mut stream: TcpStream| {
+        while let Ok(command) = Received::read(&mut stream) {
+            let (fields, body) = match command.code {
+                2 => ("detail=resident", &command.body[..]),
+                6 => ("slots_up=1", &[][..]),
+                _ => continue,
+            };
+            if stream.write_all(&frame(200, command.id, fields, body)).is_err() {
+                return;
+            }
+        }
+    };
+    std::thread::spawn(move || {
+        listener.incoming().map_while(Result::ok).for_each(|s| drop(std::thread::spawn(move || serve(s))))
+    });
+    address
+}
+
+fn frames(mut stream: TcpStream, hall: usize, seen: &Sender<Call>) {
+    let hush = Arc::new(AtomicBool::new(false));
+    while let Ok(command) = Received::read(&mut stream) {
+        let id = command.id;
+        match command.code {
             _ if hush.load(Ordering::Acquire) => {}
             6 => stream.write_all(&frame(200, id, "slots_up=1", &[])).expect("written"),
             2 => {
-                assert_eq!(field("path"), FUNCTION);
-                let (class, key, body) =
-                    (field("queue"), field("uniq"), self::content(&content_part[length..]));
+                assert_eq!(command.field("path"), FUNCTION);
+                let field = |name: &str| command.field(name).to_owned();
+                let (class, key, body) = (field("queue"), field("uniq"), content(&command.body));
                 let stream = stream.try_clone().expect("cloned");
                 let _ = seen.send(Call {
                     speech: Speech::Platform,
--- a/wrenseam/tests/transport.rs
+++ b/wrenseam/tests/transport.rs
@@ -10,6 +10,12 @@
 use wrenseam::worker::frames::Frames;
 use wrenseam::worker::{Reports, Transport};
 
+/// A transport to this address, on one scheduler thread as the program has it.
+fn frames(address: SocketAddr, limits: Limits, reports: mpsc::Sender<Message>) -> Frames {
+    wrenseam::net::schedule(&limits);
+    Frames::new(address, Arc::new(limits), Reports(reports))
+}
+
 /// Guards rule 3: what still waits for a connection when its worker drains is never written.
 #[test]
 fn an_order_that_waits_for_a_connection_is_not_written_after_a_drain() {
@@ -26,7 +32,7 @@
     let mut limits = Limits::new(192, 1024, &Settings::default());
     limits.connect = Duration::from_secs(20);
     let (queue, reports) = mpsc::channel();
-    let mut transport = Frames::new(address, Arc::new(limits), Reports(queue));
+    let mut transport = frames(address, limits, queue);
     transport.order(1, 7, 1);
     transport.retire();
     let accepted: Vec<TcpStream> = (0..=fillers.len()).map(|_| listener.accept().expect("one").0).collect();
@@ -48,8 +54,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("bound");
     let (queue, _reports) = mpsc::channel();
-    let limits = Arc::new(Limits::new(192, 1024, &Settings::default()));
-    let mut transport = Frames::new(address, limits, Reports(queue));
+    let mut transport = frames(address, Limits::new(192, 1024, &Settings::default()), queue);
     transport.order(1, 7, 1);
     let (mut stream, _) = listener.accept().expect("a connection");
     stream.read_exact(&mut [0; 52]).expect("the order");
@@ -114,8 +119,7 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("bound");
     let (queue, reports) = mpsc::channel();
-    let limits = Arc::new(Limits::new(192, 1024, &Settings::default()));
-    let mut transport = Frames::new(address, limits, Reports(queue));
+    let mut transport = frames(address, Limits::new(192, 1024, &Settings::default()), queue);
     transport.send(AttemptKey { request: 1, attempt: 0 }, &request(9), 1_000_000);
     let (mut stream, _) = listener.accept().expect("a connection");
     let (_, id, _) = command(&mut stream);
