Leave out a log line that cannot be written in place of ending the program

Seen in the test: with the reader of standard error gone, the first line that the core writes ("member w0: Draining ...") ends the program: eprintln! panics when the write fails, and a panic in the core aborts.

At fault: eprintln! in core/mod.rs (members), log.rs (note!), shutdown.rs, lib.rs. All lines now go through log::say.

Ruled out: SIGPIPE (the runtime ignores it; the exit was an abort).

--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -469,7 +469,7 @@
                 cell: member.cell,
             });
             let ready = member.state == WorkerState::Ready;
-            eprintln!("member {}: {:?} at {}", member.id, member.state, member.address);
+            log!("member {}: {:?} at {}", member.id, member.state, member.address);
             let known = self.peers.get_mut(&member.id);
             // An address may be taken over by a worker that is new: what was open to the old one stays there.
             match known.filter(|p| p.member.address == member.address && p.member.speech == member.speech) {
--- a/wrenseam/src/lib.rs
+++ b/wrenseam/src/lib.rs
@@ -58,7 +58,7 @@
             Ok((full, members)) => {
                 let _ = queue.send(Message::Members { source: Speech::Frames, full, members });
             }
-            Err(why) => eprintln!("start: known notice skipped: {why}"),
+            Err(why) => log!("start: known notice skipped: {why}"),
         }
     }
     if let Some(rev) = bramblepath::json::whole(&config.known, "rev") {
@@ -92,7 +92,7 @@
 
 fn announce(name: &str, listener: &TcpListener) {
     let address = listener.local_addr().map_or("?".to_owned(), |a| a.to_string());
-    eprintln!("start: {name} listens on {address}");
+    log!("start: {name} listens on {address}");
 }
 
 fn listen(
--- a/wrenseam/src/log.rs
+++ b/wrenseam/src/log.rs
@@ -1,5 +1,6 @@
 //! Lines of the log that others can cause: so many a second of each kind, then a count of what was left out.
 use std::fmt::Arguments;
+use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{SystemTime, UNIX_EPOCH};
 
@@ -23,7 +24,7 @@
     pub fn write(&self, text: Arguments) {
         let second = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_secs());
         if let Some(line) = self.admit(second, text) {
-            eprintln!("{line}");
+            say(format_args!("{line}"));
         }
     }
 
@@ -43,6 +44,18 @@
     }
 }
 
+/// Writes a line to the log. One that cannot be written is left out: `eprintln!` would end the program with it
+/// when whoever reads the log has gone.
+pub fn say(text: Arguments) {
+    let _ = writeln!(std::io::stderr(), "{text}");
+}
+
+/// Writes a line to the log; see [`say`].
+#[macro_export]
+macro_rules! log {
+    ($($text:tt)*) => { $crate::log::say(format_args!($($text)*)) };
+}
+
 /// Writes a line to the log that a client, a worker or the board can cause; see [`Line`].
 #[macro_export]
 macro_rules! note {
--- a/wrenseam/src/main.rs
+++ b/wrenseam/src/main.rs
@@ -9,7 +9,7 @@
     match wrenseam::shutdown::signals().and_then(run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("start: {message}");
+            wrenseam::log!("start: {message}");
             ExitCode::FAILURE
         }
     }
--- a/wrenseam/src/shutdown.rs
+++ b/wrenseam/src/shutdown.rs
@@ -21,14 +21,14 @@
         // Guards against a file that is missing or half written: what held before goes on to hold.
         match Config::board_now() {
             Ok(address) => {
-                eprintln!("reload: the board is at {address}");
+                log!("reload: the board is at {address}");
                 board.moved(address);
             }
-            Err(why) => eprintln!("reload: nothing changed: {why}"),
+            Err(why) => log!("reload: nothing changed: {why}"),
         }
     }
     let limits = &doors.limits;
-    eprintln!("stop: signal; listening for {} ms more", limits.stop_listening.as_millis());
+    log!("stop: signal; listening for {} ms more", limits.stop_listening.as_millis());
     // The front goes on sending for a while: what comes in that time is owed an answer like any other.
     std::thread::sleep(limits.stop_listening);
     doors.closing.store(true, Ordering::Release);
@@ -46,7 +46,7 @@
         quiet = if open == 0 { quiet + 1 } else { 0 };
         std::thread::sleep(LOOK);
     }
-    eprintln!("stop: done, {} requests open", doors.shared.open.load(Ordering::Acquire));
+    log!("stop: done, {} requests open", doors.shared.open.load(Ordering::Acquire));
 }
 
 /// Registers the signals; called before anything else runs, so that none is missed or ends the program.
--- a/wrenseam/tests/common/mod.rs
+++ b/wrenseam/tests/common/mod.rs
@@ -92,12 +92,15 @@
     pub settings: String,
     /// The events told at the start, in place of one that lists the workers.
     pub known: Option<String>,
+    /// Whoever reads the log goes away once the program listens.
+    pub unread: bool,
 }
 
 impl Default for Plan {
     fn default() -> Self {
         let (speech, workers, sockets) = (Speech::Platform, Vec::new(), 256);
-        Plan { speech, workers, sockets, settings: SETTINGS.to_owned(), known: None }
+        let (settings, known, unread) = (SETTINGS.to_owned(), None, false);
+        Plan { speech, workers, sockets, settings, known, unread }
     }
 }
 
@@ -188,12 +191,15 @@
         let (front, kserve, admin) = (listens(), listens(), listens());
         // The rest of the log is read, so that it cannot fill up, and shown with a failed test.
         let (tell, log) = channel();
-        std::thread::spawn(move || {
-            lines.map_while(Result::ok).for_each(|line| {
+        let read = move || {
+            for line in lines.map_while(Result::ok) {
                 eprintln!("  program: {line}");
                 let _ = tell.send(line); // the test may have ended
-            })
-        });
+            }
+        };
+        if !plan.unread {
+            std::thread::spawn(read);
+        }
         let (board, config) = (Cell::new(0), (config, told));
         Stage { child, front, kserve, admin, calls, log, boards, board, config }
     }
--- a/wrenseam/tests/program.rs
+++ b/wrenseam/tests/program.rs
@@ -1,7 +1,7 @@
 //! The program at its edges: odd input, health, administration, and its planned end.
 mod common;
 
-use common::{connect, fastcgi, fastcgi_answer, get, record, Speech, Stage, FUNCTION};
+use common::{connect, fastcgi, fastcgi_answer, get, record, Plan, Speech, Stage, FUNCTION};
 use rstest::rstest;
 use std::io::{Read, Write};
 
@@ -140,6 +140,16 @@
     assert!(state.contains(r#""asked":1"#) && state.contains(r#""speech":"kserve""#), "{state}");
 }
 
+/// Whoever reads the log may go away: lines of the core, of connections and of signals are then left out.
+#[test]
+fn a_log_that_nobody_reads_ends_nothing() {
+    let mut stage = Stage::with(Plan { unread: true, ..Plan::default() });
+    stage.play(Speech::Platform, "board expect 1\nboard send 2 w0 draining\nlist expect w0 draining");
+    stage.play(Speech::Platform, "client send part\nclient expect closed");
+    stage.play(Speech::Platform, SERVED);
+    assert!(stage.stop());
+}
+
 /// A request that is open at SIGTERM, and one that comes just after it, are answered before the end.
 #[test]
 fn a_planned_end_answers_what_was_taken() {
