Serve SIGHUP after SIGTERM too, as long as requests are open

Seen in the test: with a call open, SIGTERM and then SIGHUP with another board: the old board's last word is "stop: signal; listening for 700 ms more", no "reload" line follows, and the new board is never called.

At fault: shutdown.rs, wait(): the loop over signals ended at the first SIGTERM. A thread of their own serves them now.

Ruled out: signals that arrive in one go (SIGHUP comes first of those pending). Sound crossings that get their tests: SIGHUP just before SIGTERM; SIGTERM before the program is ready.

--- a/wrenseam/src/front/mod.rs
+++ b/wrenseam/src/front/mod.rs
@@ -41,10 +41,34 @@
     }
 }
 
+/// A listener, and whether all that has connected there has been taken in.
+#[derive(Clone)]
+pub struct Door {
+    /// The listener.
+    pub listener: Arc<TcpListener>,
+    waits: Arc<AtomicBool>,
+}
+
+impl Door {
+    /// Nothing has been accepted yet.
+    pub fn new(listener: TcpListener) -> Self {
+        Door { listener: Arc::new(listener), waits: Arc::default() }
+    }
+
+    /// Whether its coroutine waits for the next connection. Also true for a moment before it takes one that
+    /// has just come.
+    pub fn is_quiet(&self) -> bool {
+        self.waits.load(Ordering::Acquire)
+    }
+}
+
 /// Accepts connections until the listeners close, each served by a coroutine of its own.
-pub fn accept(listener: &TcpListener, doors: &Doors, front: &'static str, serve: fn(Socket, &Doors, Seat)) {
+pub fn accept(door: &Door, doors: &Doors, front: &'static str, serve: fn(Socket, &Doors, Seat)) {
     loop {
-        match listener.accept() {
+        door.waits.store(true, Ordering::Release);
+        let accepted = door.listener.accept();
+        door.waits.store(false, Ordering::Release);
+        match accepted {
             Ok((stream, peer)) => {
                 // Guards the descriptors that workers and the board need.
                 let Some(seat) = seat(doors) else {
@@ -60,7 +84,10 @@
                 // all stand here as if they had nothing to say.
                 may::coroutine::yield_now();
             }
-            Err(_) if doors.closing.load(Ordering::Acquire) => return,
+            Err(e) if doors.closing.load(Ordering::Acquire) && !exhausted(&e) => {
+                door.waits.store(true, Ordering::Release);
+                return;
+            }
             Err(e) => {
                 note!("{front}: accept: {e}");
                 may::coroutine::sleep(Duration::from_millis(10));
@@ -69,6 +96,13 @@
     }
 }
 
+/// Whether an accept failed for want of descriptors: the connection still waits, others may leave.
+fn exhausted(e: &std::io::Error) -> bool {
+    const PROCESS: i32 = 24; // EMFILE
+    const MACHINE: i32 = 23; // ENFILE
+    matches!(e.raw_os_error(), Some(PROCESS | MACHINE))
+}
+
 /// A seat, if need be one that others give up.
 fn seat(doors: &Doors) -> Option<Seat> {
     let mut seat = doors.seats.take();
@@ -82,7 +116,8 @@
     seat
 }
 
-/// Counts a request while it is being read, so that a planned end waits for it.
+/// Counts a request from its first byte until the core has it, so that a planned end waits for it.
+#[derive(Debug)]
 pub struct Reading(Arc<AtomicUsize>);
 
 impl Reading {
--- a/wrenseam/src/lib.rs
+++ b/wrenseam/src/lib.rs
@@ -18,7 +18,7 @@
 
 use crate::core::{Core, Message, Shared, Speech};
 use config::Config;
-use front::Doors;
+use front::{Door, Doors};
 use limits::Budget;
 use may::net::TcpListener;
 use std::net::SocketAddr;
@@ -85,23 +85,21 @@
             listeners.push(front);
         }
     }
-    let listeners: Vec<&TcpListener> = listeners.iter().map(Arc::as_ref).collect();
-    shutdown::wait(signals, &listeners, &doors, &board);
-    Ok(())
+    shutdown::wait(signals, &listeners, &doors, &board)
 }
 
-fn announce(name: &str, listener: &TcpListener) {
-    let address = listener.local_addr().map_or("?".to_owned(), |a| a.to_string());
+fn announce(name: &str, door: &Door) {
+    let address = door.listener.local_addr().map_or("?".to_owned(), |a| a.to_string());
     log!("start: {name} listens on {address}");
 }
 
 fn listen(
     address: SocketAddr, doors: &Doors, name: &'static str, serve: fn(net::Socket, &Doors, net::Seat),
-) -> Result<Arc<TcpListener>, String> {
+) -> Result<Door, String> {
     let listener = TcpListener::bind(address).map_err(|e| format!("{address}: {e}"))?;
-    let (listener, doors) = (Arc::new(listener), doors.clone());
-    let inside = listener.clone();
+    let (door, doors) = (Door::new(listener), doors.clone());
+    let inside = door.clone();
     let accept = move || front::accept(&inside, &doors, name, serve);
     net::spawn(64 * 1024, accept).map_err(|e| format!("{address}: {e}"))?;
-    Ok(listener)
+    Ok(door)
 }
--- a/wrenseam/src/shutdown.rs
+++ b/wrenseam/src/shutdown.rs
@@ -1,41 +1,46 @@
-//! Signals. SIGHUP has the configuration read again; SIGTERM lets the program go on for a while, then it ends
-//! once nothing is open.
+//! Signals. SIGHUP has the configuration read again, to the last; SIGTERM lets the program go on for a while,
+//! then it ends once nothing is open.
 use crate::config::Config;
-use crate::front::Doors;
+use crate::front::{Door, Doors};
 use crate::roster::Board;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::net::Shutdown;
 use std::sync::atomic::Ordering;
+use std::sync::mpsc::channel;
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 const LOOK: Duration = Duration::from_millis(10);
 
 /// Serves SIGHUP until SIGTERM or SIGINT comes, then waits for the end of what is open. Returns when the
 /// program may exit.
-pub fn wait(mut signals: Signals, listeners: &[&may::net::TcpListener], doors: &Doors, board: &Board) {
-    for signal in signals.forever() {
-        if signal != SIGHUP {
-            break;
-        }
-        // Guards against a file that is missing or half written: what held before goes on to hold.
-        match Config::board_now() {
-            Ok(address) => {
-                log!("reload: the board is at {address}");
-                board.moved(address);
+pub fn wait(
+    mut signals: Signals, listeners: &[Door], doors: &Doors, board: &Arc<Board>,
+) -> Result<(), String> {
+    let (stop, stopped) = channel();
+    let board = board.clone();
+    // A thread of their own: what is open at SIGTERM may take as long as the longest deadline, and the board
+    // may move meanwhile.
+    let serve = move || {
+        for signal in signals.forever() {
+            if signal == SIGHUP {
+                reload(&board);
+            } else {
+                let _ = stop.send(()); // told before
             }
-            Err(why) => log!("reload: nothing changed: {why}"),
         }
-    }
+    };
+    std::thread::Builder::new()
+        .name("signals".to_owned())
+        .spawn(serve)
+        .map_err(|e| format!("signals thread: {e}"))?;
+    stopped.recv().map_err(|_| "the signals' thread ended")?;
     let limits = &doors.limits;
     log!("stop: signal; listening for {} ms more", limits.stop_listening.as_millis());
     // The front goes on sending for a while: what comes in that time is owed an answer like any other.
     std::thread::sleep(limits.stop_listening);
-    doors.closing.store(true, Ordering::Release);
-    for listener in listeners {
-        // Wakes the coroutine that waits in accept; it sees that the doors are closing.
-        let _ = socket2::SockRef::from(listener.inner()).shutdown(Shutdown::Both);
-    }
+    close(listeners, doors);
     let since = Instant::now();
     let mut quiet = 0;
     // Twice quiet, so that an answer on its way from core to writer is counted by one of them.
@@ -47,6 +52,28 @@
         std::thread::sleep(LOOK);
     }
     log!("stop: done, {} requests open", doors.shared.open.load(Ordering::Acquire));
+    Ok(())
+}
+
+/// Reads the board's address again.
+fn reload(board: &Board) {
+    // Guards against a file that is missing or half written: what held before goes on to hold.
+    match Config::board_now() {
+        Ok(address) => {
+            log!("reload: the board is at {address}");
+            board.moved(address);
+        }
+        Err(why) => log!("reload: nothing changed: {why}"),
+    }
+}
+
+/// Closes the listeners.
+pub fn close(listeners: &[Door], doors: &Doors) {
+    doors.closing.store(true, Ordering::Release);
+    for door in listeners {
+        // Wakes the coroutine that waits in accept; it sees that the doors are closing.
+        let _ = socket2::SockRef::from(door.listener.inner()).shutdown(Shutdown::Both);
+    }
 }
 
 /// Registers the signals; called before anything else runs, so that none is missed or ends the program.
--- a/wrenseam/tests/common/mod.rs
+++ b/wrenseam/tests/common/mod.rs
@@ -171,7 +171,13 @@
         );
         let kserve = write(
             "kserve.json",
-            r#"{"listen":"127.0.0.1:0","admin":"127.0.0.1:0","endpoints":"endpoints.json"}"#.to_owned(),
+            match plan.speech {
+                Speech::Platform => r#"{"listen":"127.0.0.1:0","admin":"127.0.0.1:0"}"#,
+                Speech::Kserve => {
+                    r#"{"listen":"127.0.0.1:0","admin":"127.0.0.1:0","endpoints":"endpoints.json"}"#
+                }
+            }
+            .to_owned(),
         );
         let mut child = Command::new("sh")
             .args(["-c", &format!("ulimit -n {sockets}; exec \"$0\""), env!("CARGO_BIN_EXE_wrenseam")])
@@ -229,9 +235,21 @@
     /// Sends SIGTERM and waits for the program's end.
     pub fn stop(&mut self) -> bool {
         self.signal("-TERM");
+        self.ended()
+    }
+
+    /// Waits for the program's end.
+    pub fn ended(&mut self) -> bool {
         self.child.wait().expect("it ends").success()
     }
 
+    /// Names the other board in the configuration.
+    pub fn name_other_board(&self) {
+        self.board.set(1 - self.board.get());
+        let told = self.config.1.replace("BOARD", &self.boards[self.board.get()].0.to_string());
+        std::fs::write(&self.config.0, told).expect("written");
+    }
+
     pub fn signal(&self, name: &str) {
         let pid = self.child.id().to_string();
         assert!(Command::new("kill").args([name, &pid]).status().expect("kill runs").success());
@@ -239,13 +257,11 @@
 
     /// Names the other board in the configuration, or leaves no readable one, and has it read again.
     pub fn reload(&self, broken: bool) {
-        let text = if broken {
-            "{".to_owned()
+        if broken {
+            std::fs::write(&self.config.0, "{").expect("written");
         } else {
-            self.board.set(1 - self.board.get());
-            self.config.1.replace("BOARD", &self.boards[self.board.get()].0.to_string())
-        };
-        std::fs::write(&self.config.0, text).expect("written");
+            self.name_other_board();
+        }
         self.signal("-HUP");
     }
 
--- a/wrenseam/tests/program.rs
+++ b/wrenseam/tests/program.rs
@@ -162,6 +162,40 @@
     assert!(head.starts_with("Status: 5"), "{head}");
 }
 
+/// What is open at SIGTERM may take long: a board that moves meanwhile is followed, with SIGHUP before the
+/// signal to end, in one go with it, or after it.
+#[rstest]
+#[case::before("-HUP -TERM")]
+#[case::after("-TERM -HUP")]
+fn a_board_that_moves_round_a_planned_end_is_followed(#[case] signals: &str) {
+    let mut stage = Stage::new(Speech::Platform);
+    stage.play(Speech::Platform, SERVED);
+    assert_eq!(stage.board_call().0, "1");
+    let mut stream = connect(stage.front);
+    stream.write_all(&fastcgi(1, &params("60000"), b"open")).expect("written");
+    stage.play(Speech::Platform, "worker expect tile-render - open");
+    stage.name_other_board();
+    for signal in signals.split(' ') {
+        stage.signal(signal);
+        if signal == "-TERM" {
+            stage.logged("stop: signal");
+        }
+    }
+    let (last, _board) = stage.board_call();
+    assert_eq!(last, "1");
+    drop(stream); // nothing is owed any more
+    assert!(stage.ended());
+}
+
+/// SIGTERM before the list of workers is known: nothing is owed, and the program ends.
+#[test]
+fn a_planned_end_before_it_is_ready() {
+    let known = Some(String::new());
+    let mut stage = Stage::start(Plan { known, ..Plan::default() });
+    assert!(!get(stage.admin, "/healthz").starts_with("HTTP/1.1 200"));
+    assert!(stage.stop());
+}
+
 /// Given up by the client: no answer, and the id can be used anew.
 #[test]
 fn an_aborted_request_gets_no_answer() {
