Take in what has connected before the listeners are shut at SIGTERM

Seen in the test: the scheduler's thread is held at a gate while 19 connections wait to be accepted; shutdown() of the listener then resets all of them ("Connection reset by peer"), and what was sent there is lost.

--- a/wrenseam/src/front/mod.rs
+++ b/wrenseam/src/front/mod.rs
@@ -6,6 +6,8 @@
 use crate::limits::{Budget, Limits};
 use crate::net::{spawn, Outbox, Seat, Seats, Socket};
 use may::net::TcpListener;
+use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
+use std::os::fd::AsFd;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::Sender;
 use std::sync::Arc;
@@ -41,7 +43,7 @@
     }
 }
 
-/// A listener, and whether all that has connected there has been taken in.
+/// A listener, and whether its coroutine waits for the next connection.
 #[derive(Clone)]
 pub struct Door {
     /// The listener.
@@ -55,10 +57,12 @@
         Door { listener: Arc::new(listener), waits: Arc::default() }
     }
 
-    /// Whether its coroutine waits for the next connection. Also true for a moment before it takes one that
-    /// has just come.
-    pub fn is_quiet(&self) -> bool {
-        self.waits.load(Ordering::Acquire)
+    /// Whether all that has connected has been taken in: the system has none waiting, and none is in hand.
+    pub fn is_empty(&self) -> bool {
+        let mut listener = [PollFd::new(self.listener.inner().as_fd(), PollFlags::POLLIN)];
+        // Where the system does not tell, nothing is known to wait.
+        let waiting = poll(&mut listener, PollTimeout::ZERO).is_ok_and(|ready| ready > 0);
+        !waiting && self.waits.load(Ordering::Acquire)
     }
 }
 
--- a/wrenseam/src/shutdown.rs
+++ b/wrenseam/src/shutdown.rs
@@ -67,9 +67,14 @@
     }
 }
 
-/// Closes the listeners.
+/// Closes the listeners once they have taken in what has connected. Guards connections that wait to be
+/// accepted: a listener that is shut resets them, and what was sent there is lost.
 pub fn close(listeners: &[Door], doors: &Doors) {
     doors.closing.store(true, Ordering::Release);
+    let since = Instant::now();
+    while !listeners.iter().all(Door::is_empty) && since.elapsed() < doors.limits.stop_listening {
+        std::thread::sleep(LOOK);
+    }
     for door in listeners {
         // Wakes the coroutine that waits in accept; it sees that the doors are closing.
         let _ = socket2::SockRef::from(door.listener.inner()).shutdown(Shutdown::Both);
--- /dev/null
+++ b/wrenseam/tests/ending.rs
@@ -0,0 +1,77 @@
+//! A planned end, its parts held at gates: what has connected, and what is on its way between coroutines.
+mod common;
+
+use common::{connect, PATIENCE};
+use may::net::TcpListener;
+use std::io::Read;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+use wrenseam::core::Message;
+use wrenseam::front::{accept, Door, Doors};
+use wrenseam::limits::{Budget, Limits};
+use wrenseam::net::{schedule, spawn, Seat, Seats, Socket};
+
+/// What fronts need, with the core's end of the queue.
+fn doors(change: impl FnOnce(&mut Limits)) -> (Doors, Receiver<Message>) {
+    let mut limits = Limits::new(192, 256, &bramblepath::Settings::default());
+    change(&mut limits);
+    schedule(&limits);
+    let (core, queue) = channel();
+    let limits = Arc::new(limits);
+    let doors = Doors {
+        core,
+        budget: Budget::new(limits.held_bytes),
+        seats: Seats::new(limits.client_connections),
+        limits,
+        unsent: Arc::default(),
+        shared: Arc::default(),
+        reading: Arc::default(),
+        closing: Arc::default(),
+    };
+    (doors, queue)
+}
+
+static GATE: Mutex<Option<(Sender<()>, Receiver<()>)>> = Mutex::new(None);
+
+/// Holds the scheduler's one thread at the gate, then says one byte.
+fn say_one(mut stream: Socket, _: &Doors, _seat: Seat) {
+    if let Some((here, open)) = GATE.lock().expect("sound").take() {
+        here.send(()).expect("awaited");
+        open.recv().expect("opened");
+    }
+    stream.write_within(b"1", PATIENCE).expect("written");
+    let _ = stream.read(&mut [0]); // until the client leaves
+}
+
+/// Connections wait to be accepted when the listener is to close: all of them are taken in first.
+#[test]
+fn what_has_connected_is_taken_in_before_the_listener_closes() {
+    let (doors, _queue) = doors(|limits| limits.stop_listening = PATIENCE);
+    let door = Door::new(TcpListener::bind("127.0.0.1:0").expect("a port"));
+    let address = door.listener.local_addr().expect("bound");
+    let ((open, opened), (here, arrived)) = (channel(), channel());
+    *GATE.lock().expect("sound") = Some((here, opened));
+    let (inside, within) = (door.clone(), doors.clone());
+    spawn(64 * 1024, move || accept(&inside, &within, "test", say_one)).expect("a coroutine");
+    let mut clients = vec![connect(address)];
+    arrived.recv_timeout(PATIENCE).expect("the first connection is taken");
+    clients.extend((1..20).map(|_| connect(address)));
+    let closing = std::thread::spawn({
+        let (door, doors) = (door.clone(), doors.clone());
+        move || wrenseam::shutdown::close(&[door], &doors)
+    });
+    // A listener that does not wait is shut within this; one that waits is held by the gate, however long.
+    let until = Instant::now() + Duration::from_millis(300);
+    while Instant::now() < until && !closing.is_finished() {
+        std::thread::yield_now();
+    }
+    assert!(doors.closing.load(Ordering::Acquire), "it has begun to close");
+    open.send(()).expect("awaited");
+    for (n, client) in clients.iter_mut().enumerate() {
+        assert_eq!(client.read(&mut [0]).ok(), Some(1), "client {n}");
+    }
+    closing.join().expect("closed");
+    assert!(std::net::TcpStream::connect(address).is_err(), "it still listens");
+}
