Count a request for a planned end until the core has taken it over

Seen in the test: with the request handed over and not yet taken from the core's queue, neither the count of requests being read nor that of open ones holds it (0 and 0): a planned end that looks then exits, and the request is lost.

At fault: front/fastcgi.rs, whole() and front/kserve.rs, run(): the count ended with the reader's part, the core's began when it took the message (core/mod.rs, request). The guard now travels with the request.

Ruled out: answers between core and writer (counted as unsent before the request counts as closed). The test fails without the change.

--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -165,7 +165,8 @@
         self.decide();
     }
 
-    fn request(&mut self, request: Request, client: Arc<dyn Client>, tag: u64) {
+    fn request(&mut self, mut request: Request, client: Arc<dyn Client>, tag: u64) {
+        let _reading = request.reading.take(); // until it is counted as open, or answered
         let class = self.settings.class(&request.class);
         let tenant = self.settings.tenant(&request.tenant);
         let known = self.settings.classes.get(class);
--- a/wrenseam/src/core/types.rs
+++ b/wrenseam/src/core/types.rs
@@ -1,4 +1,5 @@
 //! The neutral words between fronts, core and transports. No wire shows here.
+use crate::front::Reading;
 use crate::limits::Held;
 use bramblepath::{FunctionId, Micros, Outcome, WorkerState};
 use std::net::SocketAddr;
@@ -52,6 +53,8 @@
     pub payload: Payload,
     /// The body's share of the bytes held.
     pub held: Option<Held>,
+    /// Counts it for a planned end until the core does.
+    pub reading: Option<Reading>,
 }
 
 /// The one final answer.
--- a/wrenseam/src/front/fastcgi.rs
+++ b/wrenseam/src/front/fastcgi.rs
@@ -122,7 +122,7 @@
 /// A request of which records are still to come.
 struct Partial {
     since: Instant,
-    _reading: Reading,
+    reading: Reading,
     keep: bool,
     params: Vec<u8>,
     body: Vec<u8>,
@@ -334,9 +334,9 @@
             self.end_at_once(id, OVERLOADED, "too many requests on one connection");
         } else {
             let (keep, held) = (flags & KEEP_CONN != 0, self.doors.budget.take(0));
-            let (since, _reading, over) = (Instant::now(), Reading::start(self.doors), false);
+            let (since, reading, over) = (Instant::now(), Reading::start(self.doors), false);
             let (params, body) = (Vec::new(), Vec::new());
-            self.partial.insert(id, Partial { since, _reading, keep, params, body, held, over });
+            self.partial.insert(id, Partial { since, reading, keep, params, body, held, over });
         }
         Ok(())
     }
@@ -399,7 +399,8 @@
             return;
         }
         let request = neutral(path, &word, partial.body, &self.doors.limits);
-        match request.map(|r| Request { read_at, held: partial.held, ..r }) {
+        let (held, reading) = (partial.held, Some(partial.reading));
+        match request.map(|r| Request { read_at, held, ..r }) {
             Err(why) => self.refuse(id, Fault::Bad(why), close),
             Ok(request) => {
                 self.uses += 1;
@@ -408,6 +409,7 @@
                 }
                 let tag = self.uses << 16 | u64::from(id);
                 self.side.occupant.opened();
+                let request = Request { reading, ..request };
                 let _ = self.doors.core.send(Message::Request(request, self.side.clone(), tag));
             }
         }
@@ -449,5 +451,6 @@
         load_time: (told.load_ms * 1000.0) as u64,
         payload: Payload::Bytes(body),
         held: None,
+        reading: None,
     })
 }
--- a/wrenseam/src/front/kserve.rs
+++ b/wrenseam/src/front/kserve.rs
@@ -193,8 +193,8 @@
                         continue;
                     }
                     tag += 1;
-                    part = None;
                     self.whole(tag, &told, got)?;
+                    part = None; // only now: what went to the core counts by itself
                     if told.close {
                         return self.until_end(&mut ring, &mut stream);
                     }
@@ -297,7 +297,8 @@
         };
         match neutral(name, body, &self.doors.limits) {
             Ok(request) => {
-                let request = Request { read_at, held: Some(held), ..request };
+                let (held, reading) = (Some(held), Some(Reading::start(self.doors)));
+                let request = Request { read_at, held, reading, ..request };
                 self.side.occupant.opened();
                 let _ = self.doors.core.send(Message::Request(request, self.side.clone(), tag));
                 Reply::Later
@@ -369,5 +370,6 @@
         load_time: (figures.load_ms * 1000.0) as u64,
         payload: Payload::Json(body),
         held: None,
+        reading: None,
     })
 }
--- a/wrenseam/tests/ending.rs
+++ b/wrenseam/tests/ending.rs
@@ -1,15 +1,15 @@
 //! A planned end, its parts held at gates: what has connected, and what is on its way between coroutines.
 mod common;
 
-use common::{connect, PATIENCE};
+use common::{connect, fastcgi, PATIENCE};
 use may::net::TcpListener;
-use std::io::Read;
+use std::io::{Read, Write};
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 use wrenseam::core::Message;
-use wrenseam::front::{accept, Door, Doors};
+use wrenseam::front::{accept, fastcgi::serve, Door, Doors};
 use wrenseam::limits::{Budget, Limits};
 use wrenseam::net::{schedule, spawn, Seat, Seats, Socket};
 
@@ -75,3 +75,33 @@
     closing.join().expect("closed");
     assert!(std::net::TcpStream::connect(address).is_err(), "it still listens");
 }
+
+/// A request that the reader has handed over and the core has not taken yet is still counted.
+#[test]
+fn a_request_on_its_way_to_the_core_is_counted() {
+    let (doors, queue) = doors(|_| ());
+    let door = Door::new(TcpListener::bind("127.0.0.1:0").expect("a port"));
+    let address = door.listener.local_addr().expect("bound");
+    let within = doors.clone();
+    spawn(64 * 1024, move || accept(&door, &within, "test", serve)).expect("a coroutine");
+    let mut client = connect(address);
+    let params = [
+        ("SCRIPT_NAME", "/v1/any"),
+        ("HTTP_REQ_ID", "00000000000000aa"),
+        ("HTTP_REQ_WAIT_MS", "900"),
+        ("HTTP_REQ_KEY", common::FUNCTION),
+    ];
+    client.write_all(&fastcgi(1, &params, b"x")).expect("written");
+    let message = queue.recv_timeout(PATIENCE).expect("handed over");
+    assert!(matches!(message, Message::Request(..)));
+    // The reader goes on to wait for more: its part is done once it has seen the next, bad one through.
+    client.write_all(&fastcgi(2, &[], b"")).expect("written");
+    assert!(common::fastcgi_answer(&mut client).expect("an answer").0.starts_with("Status: 400"));
+    let until = Instant::now() + PATIENCE;
+    while doors.reading.load(Ordering::Acquire) > 1 && Instant::now() < until {
+        std::thread::yield_now();
+    }
+    assert_eq!(doors.reading.load(Ordering::Acquire), 1);
+    drop(message);
+    assert_eq!(doors.reading.load(Ordering::Acquire), 0);
+}
--- a/wrenseam/tests/transport.rs
+++ b/wrenseam/tests/transport.rs
@@ -84,6 +84,7 @@
         load_time: 0,
         payload: Payload::Bytes(Vec::new()),
         held: None,
+        reading: None,
     })
 }
 
