--- /dev/null
+++ b/wrenseam/tests/ring.rs
@@ -0,0 +1,18 @@
+//! The ring of bytes.
+use wrenseam::ring::Ring;
+
+#[test]
+fn bytes_come_out_in_order_across_the_edge() {
+    let (mut ring, mut out, mut next) = (Ring::new(7), Vec::new(), 0u8);
+    for step in 0..40 {
+        let data: Vec<u8> = (next..next + 5).collect();
+        next += ring.push(&data) as u8;
+        ring.take(1 + step % 6, &mut out);
+    }
+    let mut left = &[9u8, 9][..];
+    ring.take(7, &mut out);
+    assert_eq!(ring.fill(&mut left).unwrap(), 2);
+    assert_eq!(out, (0..next).collect::<Vec<u8>>());
+    ring.truncate(1);
+    assert_eq!((ring.front(), ring.free()), (&[9u8][..], 6));
+}
