--- a/wrenseam/src/lib.rs
+++ b/wrenseam/src/lib.rs
@@ -1,5 +1,8 @@
 //! The front end round the decision module: fronts parse, the core owns the module, transports carry.
-//! See docs/architecture.md for the life of a request.
+//!
+//! The life of a request: a front reads it whole and hands it to the core's queue; the core tells the module and
+//! carries out its actions; a transport writes the attempt to a worker and reports how it ended; the core gives
+//! the one final answer to the client's outbox, which writes it.
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
