--- a/src/control.rs
+++ b/src/control.rs
@@ -1,8 +1,8 @@
 //! Every decision of a gateway. The settings, events and actions it speaks in stand in `src/interface.rs`.
 //!
-//! Ordinary path, after the paper on adaptive replication in loss networks: a request goes to a uniformly random
-//! worker among those believed warm with a free lane. Finding none is a loss; losses, real and virtual, add copies
-//! where the least recently lost function lies idle. Everything else below is a guard, and says against what.
+//! Ordinary path, after the paper on adaptive replication in loss networks: a request goes to a uniformly
+//! random worker among those believed warm with a free lane. Finding none is a loss; losses, real and virtual,
+//! add copies where the least recently lost function lies idle. All else is a guard, and says against what.
 use crate::interface::*;
 use crate::state::*;
 use rand_pcg::rand_core::SeedableRng;
@@ -84,9 +84,7 @@
     /// A gateway that knows nothing yet; `seed` starts its random numbers.
     pub fn new(mut settings: Settings, seed: u64) -> Self {
         // An unknown class is taken for an unsafe one without an aim or worth; absurd figures are clamped.
-        let (effect, group, window, worth) = (Effect::Unsafe, Group::Cell, 0, 0.0);
-        let name = String::new();
-        settings.classes.push(ClassSettings { name, effect, group, window, aim: LONGEST, worth });
+        settings.classes.push(ClassSettings::default());
         for c in &mut settings.classes {
             c.aim = if c.aim > 0 { c.aim.min(LONGEST) } else { LONGEST };
             c.window = c.window.min(LONGEST);
