Take the last exit and the longest wait from the settings' deadlines

Seen in the tests: with a class that gives up after 14 s, Limits::stop_at_last is 10 s, so what came just before the listeners closed is lost at the exit; a client that claims to wait 600 s gets no answer in 10 s though its class gives up after 0.9 s, and its timers stay in memory as long.

At fault: limits.rs (stop_at_last, longest_wait were constants), core/mod.rs, request() (the wait was taken as told); the settings' give-up was not read at all (src/settings.rs).

Ruled out: the signal to end for good, which comes no sooner than the longest deadline plus 0.7 s.

--- a/src/interface.rs
+++ b/src/interface.rs
@@ -49,6 +49,8 @@
     pub window: Micros,
     /// An answer within this span earns full worth; 0 if none is stated.
     pub aim: Micros,
+    /// How long clients wait, over all their tries; 0 if not stated.
+    pub give_up: Micros,
     /// Worth of one request.
     pub worth: f64,
 }
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -25,6 +25,7 @@
             },
             window: span(c, "memory-span"),
             aim: span(c, "goal-time"),
+            give_up: span(c, "give-up"),
             worth: number(c, "worth").unwrap_or(0.0),
         };
         let tenant = |t: &Object| TenantSettings {
--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -184,6 +184,9 @@
             note!("request {:016x}: failed, {fault}", request.wire_id);
             return client.answer(tag, Answer::Failed);
         }
+        // Guards memory and a planned end: a request's timers stay for as long as its client is said to wait.
+        let most = known.map(|c| c.give_up).filter(|&span| span > 0);
+        request.wait = request.wait.min(most.unwrap_or(request.wait));
         self.last += 1;
         let id = self.last;
         let now = self.clock.now();
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -85,7 +85,7 @@
     pub board_event: usize,
     /// After SIGTERM the listeners stay open this long.
     pub stop_listening: Duration,
-    /// After SIGTERM the program ends at the latest after this.
+    /// The program ends at the latest so long after its listeners have closed.
     pub stop_at_last: Duration,
 }
 
@@ -98,6 +98,7 @@
         let memory = memory_mb.clamp(32, 1 << 20) as usize * 1024 * 1024;
         let span =
             |told: Micros, else_ms: u64| Duration::from_micros(if told > 0 { told } else { else_ms * 1000 });
+        let longest = settings.classes.iter().map(|c| c.give_up).max().unwrap_or(0);
         let client_connections = sockets * 2 / 5;
         let idle = span(settings.connection_idle, 15_000);
         Limits {
@@ -116,7 +117,7 @@
             client_idle: Duration::from_millis(5_000),
             client_check: Duration::from_millis(250),
             discard: 64 * 1024,
-            longest_wait: 600_000_000,
+            longest_wait: longest.max(600_000_000),
             memory_mb: 1e6,
             lanes: 1024.0,
             stack: 64 * 1024,
@@ -142,7 +143,8 @@
             board_retry: Duration::from_millis(100),
             board_event: 1024 * 1024,
             stop_listening: Duration::from_millis(700),
-            stop_at_last: Duration::from_secs(10),
+            // What came last before the listeners closed may take as long as any.
+            stop_at_last: span(longest, 10_000).max(Duration::from_secs(3)),
         }
     }
 }
--- a/wrenseam/tests/limits.rs
+++ b/wrenseam/tests/limits.rs
@@ -33,3 +33,17 @@
     assert_eq!(set(0.01), Duration::from_millis(200));
     assert!(set(0.08) > Duration::from_millis(550), "{:?}", set(0.08));
 }
+
+fn classes(give_up: &[u64]) -> Limits {
+    let class = |&give_up: &u64| bramblepath::ClassSettings { give_up, ..Default::default() };
+    let classes = give_up.iter().map(class).collect();
+    Limits::new(192, 1024, &Settings { classes, ..Settings::default() })
+}
+
+/// What came last before the end may take as long as the longest deadline, and no signal ends it sooner.
+#[test]
+fn a_planned_end_waits_as_long_as_the_longest_deadline() {
+    assert!(classes(&[3_000_000, 14_000_000]).stop_at_last >= Duration::from_secs(14));
+    assert!(classes(&[400_000]).stop_at_last >= Duration::from_secs(3), "the platform counts it as 3 s");
+    assert!(classes(&[900_000_000]).longest_wait >= 900_000_000, "a wait that a class allows is read");
+}
--- a/wrenseam/tests/program.rs
+++ b/wrenseam/tests/program.rs
@@ -196,6 +196,18 @@
     assert!(stage.stop());
 }
 
+/// A client that claims to wait for longer than its class allows gets its answer when the class gives up.
+#[test]
+fn a_wait_is_no_longer_than_its_class_allows() {
+    let settings = common::SETTINGS.replace(r#""goal-time":400,"#, r#""goal-time":200,"give-up":900,"#);
+    let stage = Stage::with(Plan { settings, ..Plan::default() });
+    let scenario = "
+        client send tile-render - x 600000
+        worker expect tile-render - x
+        client expect failed";
+    stage.play(Speech::Platform, scenario);
+}
+
 /// Given up by the client: no answer, and the id can be used anew.
 #[test]
 fn an_aborted_request_gets_no_answer() {
