Keep at most an eighth of a short wait for the way of its answer

Found by reading, for customers with short deadlines: core/mod.rs, left(), took 80 ms off every wait, so a request that waits 88 ms or less was refused at once, with nothing sent. The margin is now an eighth of the wait, 80 ms at most: nothing changes for waits of 640 ms and more, as all of this site's are. The test fails without it (no such function; with the constant in its place a wait of 80 ms leaves nothing).

--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -216,7 +216,7 @@
     /// machine that stands still for some tens of milliseconds just before a client leaves.
     fn left(&self, now: Micros, request: &Request) -> Micros {
         let past = now.saturating_sub(self.clock.at(request.read_at));
-        request.wait.saturating_sub(past + self.limits.answer_margin)
+        request.wait.saturating_sub(past + self.limits.margin(request.wait))
     }
 
     fn count(&mut self, tenant: Option<usize>) -> &mut Counts {
--- a/wrenseam/src/limits.rs
+++ b/wrenseam/src/limits.rs
@@ -49,7 +49,7 @@
     pub lanes: f64,
     /// Stack of a coroutine, in bytes.
     pub stack: usize,
-    /// Part of a client's wait kept for the way of its answer: the module never hears of it.
+    /// Most of a client's wait that is kept for the way of its answer: the module never hears of it.
     pub answer_margin: Micros,
     /// What a v2 client waits that does not say.
     pub default_wait: Micros,
@@ -149,6 +149,13 @@
     }
 }
 
+impl Limits {
+    /// The part of a wait that is kept for the way of the answer. Guards short waits: most of each is the worker's.
+    pub fn margin(&self, wait: Micros) -> Micros {
+        self.answer_margin.min(wait / 8)
+    }
+}
+
 /// Such questions are answered in a few ms under load too, but each is priced like a probe. One that may cost
 /// more than a hundredth of a call waits until the call it is for is long late: with many front ends a
 /// connection carries one call at a time, and is quiet whenever that takes long.
--- a/wrenseam/tests/limits.rs
+++ b/wrenseam/tests/limits.rs
@@ -47,3 +47,13 @@
     assert!(classes(&[400_000]).stop_at_last >= Duration::from_secs(3), "the platform counts it as 3 s");
     assert!(classes(&[900_000_000]).longest_wait >= 900_000_000, "a wait that a class allows is read");
 }
+
+/// Another customer's clients may wait for less than what the answer's way is given at most.
+#[test]
+fn most_of_a_short_wait_is_left_to_workers() {
+    let limits = classes(&[]);
+    for wait in [1_000, 20_000, 80_000, 300_000, 3_000_000] {
+        assert!(limits.margin(wait) <= wait / 8, "{wait}");
+    }
+    assert_eq!(limits.margin(3_000_000), limits.answer_margin);
+}
