--- a/src/control.rs
+++ b/src/control.rs
@@ -1,8 +1,9 @@
 //! Every decision of a gateway. The settings, events and actions it speaks in stand in `src/interface.rs`.
 //!
 //! Ordinary path, after the paper on adaptive replication in loss networks: a request goes to a uniformly
-//! random worker among those believed warm with a free lane. Finding none is a loss; losses, real and virtual,
-//! add copies where the least recently lost function lies idle. All else is a guard, and says against what.
+//! random worker among those believed warm with a free lane. Finding none is a loss; losses, real and
+//! virtual, add copies where the least recently lost function lies idle. All else is a guard, and says
+//! against what.
 use crate::interface::*;
 use crate::state::*;
 use rand_pcg::rand_core::SeedableRng;
