Keep what is out at a worker's old address until it is answered

Seen in the test: a call is out at w0, the list gives w0 another address; the old connection is closed at once, the call ends as a reset and runs a second time, or, where it may not be repeated, fails ("Status: 500").

At fault: core/mod.rs, members(): the old transport was told to retire and then dropped with its connections, though the comment promised that what was open stays there.

Ruled out: the worker (it had not closed).

--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -50,6 +50,32 @@
 struct Peer {
     member: Member,
     transport: Box<dyn Transport>,
+    /// To addresses where it stood before: what is out there may still be answered.
+    former: Vec<Box<dyn Transport>>,
+}
+
+impl Peer {
+    fn transports(&mut self) -> impl Iterator<Item = &mut Box<dyn Transport>> {
+        self.former.iter_mut().chain([&mut self.transport])
+    }
+
+    /// Gives an attempt up, at whichever address it is out.
+    fn cancel(&mut self, key: AttemptKey) {
+        self.transports().for_each(|t| t.cancel(key));
+    }
+
+    fn sweep(&mut self) {
+        self.transports().for_each(|t| t.sweep());
+        self.former.retain(|t| !t.is_idle());
+    }
+
+    fn is_idle(&self) -> bool {
+        self.former.is_empty() && self.transport.is_idle()
+    }
+
+    fn connections(&self) -> usize {
+        self.former.iter().chain([&self.transport]).map(|t| t.connections().0).sum()
+    }
 }
 
 #[derive(Clone, Default)]
@@ -308,7 +334,7 @@
                 let open = self.requests.get(&key.request).and_then(|o| o.attempts.get(key.attempt));
                 if let Some(attempt) = open.filter(|a| a.open) {
                     if let Some(peer) = self.peers.get_mut(&attempt.worker) {
-                        peer.transport.cancel(key);
+                        peer.cancel(key);
                     }
                     self.ended(key, Report::bare(Outcome::Timeout));
                 }
@@ -317,7 +343,7 @@
                 // Guards connections: one that waits for the answer to a lost order would never be idle.
                 let worker = self.orders.get(&order).map(|o| &o.0);
                 if let Some(peer) = worker.and_then(|w| self.peers.get_mut(w)) {
-                    peer.transport.lapse(order);
+                    peer.transports().for_each(|t| t.lapse(order));
                 }
                 self.ordered(order, Outcome::Timeout, 0);
             }
@@ -329,15 +355,15 @@
                 let (now, every) = (self.clock.now(), self.limits.link_check);
                 // Guards sound connections from our own stand-still: what came meanwhile is not read yet.
                 if now < self.pulsed + 2 * every {
-                    self.peers.values_mut().for_each(|p| p.transport.pulse());
+                    self.peers.values_mut().flat_map(Peer::transports).for_each(|t| t.pulse());
                 }
                 self.pulsed = now;
                 self.timers.set(now + every, Due::Pulse);
             }
             Due::Sweep => {
-                self.peers.values_mut().for_each(|p| p.transport.sweep());
+                self.peers.values_mut().for_each(Peer::sweep);
                 // Guards memory: workers are replaced by new ones all day long.
-                let here = |p: &Peer| p.member.state != WorkerState::Gone || !p.transport.is_idle();
+                let here = |p: &Peer| p.member.state != WorkerState::Gone || !p.is_idle();
                 self.peers.retain(|_, p| here(p));
                 self.timers.set(self.clock.now() + SWEEP, Due::Sweep);
             }
@@ -363,7 +389,7 @@
                 let key = AttemptKey { request: id, attempt };
                 let of = self.requests.get(&id).and_then(|o| o.attempts.get(attempt)).filter(|a| a.open);
                 if let Some(peer) = of.and_then(|a| self.peers.get_mut(&a.worker)) {
-                    peer.transport.cancel(key);
+                    peer.cancel(key);
                     self.end(key, Report::bare(Outcome::Cancelled));
                     self.forget(id);
                 }
@@ -409,7 +435,7 @@
         if !self.peers.get(worker).is_some_and(|p| p.transport.connections().1) {
             return true;
         }
-        let open: usize = self.peers.values().map(|p| p.transport.connections().0).sum();
+        let open: usize = self.peers.values().map(Peer::connections).sum();
         let most = self.limits.worker_connections;
         if open < if order { most - most / 4 } else { most } {
             return true;
@@ -485,10 +511,13 @@
                 }
                 None => {
                     let to = transport(member.speech, member.address, &self.limits, &self.reports);
-                    if let Some(mut old) =
-                        self.peers.insert(member.id.clone(), Peer { member, transport: to })
-                    {
+                    let id = member.id.clone();
+                    let old =
+                        self.peers.insert(id.clone(), Peer { member, transport: to, former: Vec::new() });
+                    if let (Some(mut old), Some(peer)) = (old, self.peers.get_mut(&id)) {
                         old.transport.retire();
+                        peer.former = old.former;
+                        peer.former.push(old.transport);
                     }
                 }
             }
--- a/wrenseam/tests/common/mod.rs
+++ b/wrenseam/tests/common/mod.rs
@@ -265,6 +265,15 @@
         self.signal("-HUP");
     }
 
+    /// Waits until the administration API shows this.
+    pub fn shows(&self, part: &str) {
+        let since = Instant::now();
+        while !get(self.admin, "/v1/state").contains(part) {
+            assert!(since.elapsed() < PATIENCE, "{part} is not shown");
+            std::thread::sleep(Duration::from_millis(10));
+        }
+    }
+
     /// Waits until the administration API shows this state of a worker.
     pub fn listed(&self, worker: &str, state: &str, context: &str) {
         let since = Instant::now();
@@ -622,6 +631,70 @@
     }
 }
 
+/// A worker that a test answers for, call by call; orders it answers by itself, as if all stood loaded.
+pub struct Hand {
+    listener: TcpListener,
+    stream: Option<TcpStream>,
+}
+
+impl Hand {
+    pub fn new() -> Hand {
+        Hand { listener: TcpListener::bind("127.0.0.1:0").expect("a port"), stream: None }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().expect("bound")
+    }
+
+    /// The next command that is no order, on the connection in use, the first time a new one.
+    pub fn command(&mut self) -> Received {
+        let stream = self.stream.get_or_insert_with(|| {
+            let (stream, _) = self.listener.accept().expect("a connection");
+            stream.set_read_timeout(Some(PATIENCE)).expect("set");
+            stream
+        });
+        loop {
+            let command = Received::read(stream).expect("a command");
+            match command.code {
+                6 => stream.write_all(&frame(200, command.id, "slots_up=1", &[])).expect("written"),
+                8 => {}
+                _ => return command,
+            }
+        }
+    }
+
+    pub fn serve(&mut self, id: u64, body: &str) {
+        let stream = self.stream.as_mut().expect("connected");
+        stream.write_all(&frame(200, id, "detail=resident", body.as_bytes())).expect("written");
+    }
+
+    /// Whether something has connected that was not taken.
+    pub fn untouched(&self) -> bool {
+        self.listener.set_nonblocking(true).expect("set");
+        self.listener.accept().is_err()
+    }
+}
+
+/// An event of the board.
+pub fn tell(board: &mut TcpStream, number: u64, whole: bool, instances: &[String]) {
+    let instances = instances.join(",");
+    let event = format!(r#"{{"rev":{number},"pool":{{"reset":{whole},"instances":[{instances}]}}}}"#);
+    board.write_all(format!("id: {number}\ndata: {event}\n\n").as_bytes()).expect("written");
+}
+
+/// A call of the usual function as bytes.
+pub fn call(stream_id: u16, wire_id: &str, wait: &str, body: &str) -> Vec<u8> {
+    let params = [
+        ("SCRIPT_NAME", "/v1/tile-render"),
+        ("HTTP_REQ_ID", wire_id),
+        ("HTTP_REQ_OWNER", "acme"),
+        ("HTTP_REQ_WAIT_MS", wait),
+        ("HTTP_REQ_KEY", FUNCTION),
+        ("HTTP_X_MORE", "memory_mb:512;lanes:4;load_ms:640"),
+    ];
+    fastcgi(stream_id, &params, body.as_bytes())
+}
+
 /// A worker that serves every call with its own body, and answers orders as if all stood loaded.
 pub fn obliging_worker() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
