Hold one ready worker at an address, also when a known one moves there

Seen in the tests: w0 is listed at the address of w1, of whose end nothing is told: both stay ready at one address, and calls for w1, warm by its account, reach the process of w0. One list that names two ready workers at an address does the same.

At fault: core/mod.rs, members(): only ids that were not known at all took the place of who stood there before. Now whoever comes to an address does, and of two in one list the later start counts.

Ruled out: the module (it is told states, never addresses).

--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -64,6 +64,10 @@
         self.transports().for_each(|t| t.cancel(key));
     }
 
+    fn stands_at(&self, address: SocketAddr) -> bool {
+        self.member.address == address && self.member.state != WorkerState::Gone
+    }
+
     fn sweep(&mut self) {
         self.transports().for_each(|t| t.sweep());
         self.former.retain(|t| !t.is_idle());
@@ -110,6 +114,21 @@
     counts: Vec<Counts>,
 }
 
+/// Of ready workers at one address the one that started last stands there, of equals the one listed last.
+fn one_at_an_address(members: &mut [Member]) {
+    let mut stands = BTreeMap::new();
+    for (n, m) in members.iter().enumerate().filter(|(_, m)| m.state == WorkerState::Ready) {
+        let best = stands.entry(m.address).or_insert((m.started_at, n));
+        *best = (*best).max((m.started_at, n));
+    }
+    for (n, m) in members.iter_mut().enumerate().filter(|(_, m)| m.state == WorkerState::Ready) {
+        if stands.get(&m.address).is_some_and(|&(_, last)| last != n) {
+            note!("member {}: taken for gone, another is listed at {}", m.id, m.address);
+            m.state = WorkerState::Gone;
+        }
+    }
+}
+
 impl Core {
     /// A core that knows nothing yet.
     pub fn new(
@@ -472,6 +491,7 @@
     }
 
     fn members(&mut self, source: Speech, full: bool, mut members: Vec<Member>) {
+        one_at_an_address(&mut members);
         if full {
             let listed: Vec<&String> = members.iter().map(|m| &m.id).collect();
             let left = |p: &&Peer| p.member.speech == source && !listed.contains(&&p.member.id);
@@ -479,11 +499,15 @@
             let gone: Vec<Member> = self.peers.values().filter(left).map(gone).collect();
             members.extend(gone);
         }
-        // Guards a new worker from what is meant for the one that stood at its address before: the list may
-        // tell of that one's end later than of the new one, and calls would go by the old one's account.
-        let new = |m: &&Member| m.state == WorkerState::Ready && !self.peers.contains_key(&m.id);
-        let taken: Vec<SocketAddr> = members.iter().filter(new).map(|m| m.address).collect();
-        let old = |p: &&Peer| taken.contains(&p.member.address) && p.member.speech == source;
+        // Guards a worker from what is meant for the one that stood at its address before: the list may tell of
+        // that one's end later than of its coming, and calls would go by the old one's account. It may be new
+        // itself, or have moved there.
+        let here = |m: &Member| self.peers.get(&m.id).is_some_and(|p| p.stands_at(m.address));
+        let comes = |m: &&Member| m.state == WorkerState::Ready && !here(m);
+        let taken: Vec<(SocketAddr, &String)> =
+            members.iter().filter(comes).map(|m| (m.address, &m.id)).collect();
+        let by_other = |p: &Peer| taken.iter().any(|(at, by)| p.stands_at(*at) && **by != p.member.id);
+        let old = |p: &&Peer| by_other(p) && p.member.speech == source;
         let gone = |p: &Peer| Member { state: WorkerState::Gone, ..p.member.clone() };
         let gone: Vec<Member> = self.peers.values().filter(old).map(gone).collect();
         members.splice(0..0, gone);
