Leave give-ups and questions in the stream when a drain takes calls back

Seen in the test: a worker drains while its socket takes nothing more; the ring is cut at the first call that has not begun, and a give-up frame and a question behind it go with it. The attempt that the give-up named is then out at the worker still, beside the further attempt that the module was told it may make.

At fault: worker/frames.rs, withhold(): it truncated the ring, whatever lay behind. The ring and its frames are a structure of their own now (Outgoing), which takes back bound frames alone and tells which exchanges' frames moved.

Ruled out: give-ups that wait outside the ring (they were kept). The test fails with the old way of cutting.

--- a/wrenseam/src/worker/frames.rs
+++ b/wrenseam/src/worker/frames.rs
@@ -355,16 +355,108 @@
     }
 }
 
+/// Frames that wait in the ring for the socket. All bytes that are ever put in are counted as one stream.
+pub struct Outgoing {
+    ring: Ring,
+    frames: VecDeque<Outbound>,
+    /// Where in the stream the next byte that is written stands.
+    written: u64,
+    /// Where the next frame will begin.
+    end: u64,
+}
+
+/// A frame in the ring.
+struct Outbound {
+    begin: u64,
+    end: u64,
+    /// The exchange that it opens, and whether it may not go after a drain.
+    opens: Option<(u64, bool)>,
+}
+
+/// What a drain did to the frames in the ring.
+#[derive(Debug, Default, PartialEq)]
+pub struct Withheld {
+    /// The exchanges whose frames were taken back.
+    pub ids: Vec<u64>,
+    /// Exchanges whose frames end elsewhere in the stream now, and where.
+    pub moved: Vec<(u64, u64)>,
+}
+
+impl Outgoing {
+    /// Nothing waits in a ring of so many bytes.
+    pub fn new(ring: usize) -> Self {
+        Outgoing { ring: Ring::new(ring), frames: VecDeque::new(), written: 0, end: 0 }
+    }
+
+    /// Bytes that still fit.
+    pub fn free(&self) -> usize {
+        self.ring.free()
+    }
+
+    /// Whether nothing waits.
+    pub fn is_empty(&self) -> bool {
+        self.ring.is_empty()
+    }
+
+    /// The bytes to be written next.
+    pub fn front(&self) -> &[u8] {
+        self.ring.front()
+    }
+
+    /// Puts a frame in that fits; `opens` names the exchange it opens, and whether it may not go after a drain.
+    /// Tells where in the stream it ends.
+    pub fn push(&mut self, frame: &[u8], opens: Option<(u64, bool)>) -> u64 {
+        let begin = self.end;
+        self.end += self.ring.push(frame) as u64;
+        self.frames.push_back(Outbound { begin, end: self.end, opens });
+        self.end
+    }
+
+    /// So many bytes have left; tells how many have in all.
+    pub fn wrote(&mut self, bytes: usize) -> u64 {
+        self.ring.consume(bytes);
+        self.written += bytes as u64;
+        while self.frames.front().is_some_and(|f| f.end <= self.written) {
+            self.frames.pop_front();
+        }
+        self.written
+    }
+
+    /// After a drain: takes back what may not go any more, as long as none of its bytes has left. All else
+    /// stays: what an order to give up meant would otherwise be out still, beside the attempt that follows it.
+    pub fn withhold(&mut self) -> Withheld {
+        let mut bytes = Vec::new();
+        self.ring.take(usize::MAX, &mut bytes);
+        let (mut withheld, start) = (Withheld::default(), self.written);
+        self.end = self.written;
+        for mut frame in std::mem::take(&mut self.frames) {
+            let begun = frame.begin < start;
+            match frame.opens {
+                Some((id, true)) if !begun => withheld.ids.push(id),
+                opens => {
+                    let from = frame.begin.max(start);
+                    let content = &bytes[(from - start) as usize..(frame.end - start) as usize];
+                    let end = self.end + self.ring.push(content) as u64;
+                    if let Some((id, _)) = opens.filter(|_| end != frame.end) {
+                        withheld.moved.push((id, end));
+                    }
+                    (frame.begin, frame.end) = (if begun { frame.begin } else { self.end }, end);
+                    self.end = end;
+                    self.frames.push_back(frame);
+                }
+            }
+        }
+        withheld
+    }
+}
+
 /// The writing coroutine of one connection.
 struct Writer {
     state: Arc<State>,
     reports: Reports,
     limits: Arc<Limits>,
     waiting: VecDeque<Command>,
-    /// Frames in the ring: where in the stream each begins, and what it is if it may not go after a drain.
-    begun: VecDeque<(u64, u64, bool)>,
-    ring: Ring,
-    queued: u64,
+    outgoing: Outgoing,
 }
 
 fn report(reports: &Reports, state: &State, what: What, outcome: Outcome) {
@@ -396,9 +488,8 @@
         address: SocketAddr, queue: Receiver<Command>, state: Arc<State>, limits: Arc<Limits>,
         reports: Reports,
     ) {
-        let ring = Ring::new(limits.worker_ring);
-        let (waiting, begun, queued) = (VecDeque::new(), VecDeque::new(), 0);
-        let mut writer = Writer { state, reports, limits, waiting, begun, ring, queued };
+        let (waiting, outgoing) = (VecDeque::new(), Outgoing::new(limits.worker_ring));
+        let mut writer = Writer { state, reports, limits, waiting, outgoing };
         if let Err(why) = writer.connection(address, &queue) {
             note!("worker {address}: connection ended: {why}");
         }
@@ -458,18 +549,14 @@
                 self.withhold();
             }
             self.fill()?;
-            if self.ring.is_empty() {
+            if self.outgoing.is_empty() {
                 return Ok(());
             }
-            match stream.write_within(self.ring.front(), self.limits.write_check) {
+            match stream.write_within(self.outgoing.front(), self.limits.write_check) {
                 Ok(0) => return Err("closed".to_owned()),
                 Ok(n) => {
                     stalled = Duration::ZERO;
-                    self.ring.consume(n);
-                    let written = self.state.written.fetch_add(n as u64, Ordering::AcqRel) + n as u64;
-                    while self.begun.front().is_some_and(|b| b.0 < written) {
-                        self.begun.pop_front();
-                    }
+                    self.state.written.store(self.outgoing.wrote(n), Ordering::Release);
                 }
                 Err(e) if timed_out(&e) => {
                     stalled += self.limits.write_check;
@@ -510,13 +597,14 @@
             }
         }
         self.waiting = kept;
-        let written = self.state.written.load(Ordering::Acquire);
-        let Some(first) = self.begun.iter().position(|b| b.0 >= written && b.2) else { return };
-        let from = self.begun[first].0;
-        self.ring.truncate((from - written) as usize);
-        self.queued = from;
+        let withheld = self.outgoing.withhold();
         let Ok(mut table) = self.state.table.lock() else { return };
-        for (_, id, _) in self.begun.drain(first..) {
+        for (id, end) in withheld.moved {
+            if let Some(exchange) = table.open.get_mut(&id) {
+                exchange.end = end;
+            }
+        }
+        for id in withheld.ids {
             if let Some(exchange) = table.open.remove(&id) {
                 report(&self.reports, &self.state, exchange.what, Outcome::Moot);
             }
@@ -534,8 +622,8 @@
                 Command::Close => (0, None),
                 Command::Cancel(_) => (HEADER + CHECK, None),
             };
-            if len > self.ring.free() {
-                if self.ring.is_empty() {
+            if len > self.outgoing.free() {
+                if self.outgoing.is_empty() {
                     return Err(format!("a frame of {len} bytes is larger than the ring"));
                 }
                 return Ok(());
@@ -549,21 +637,19 @@
                     _ => continue, // an order stands, whether its answer is awaited or not
                 },
             };
-            let begin = self.queued;
-            self.queued += frame.len() as u64;
-            if let Some((what, id, function, bound)) = what {
-                let Ok(mut table) = self.state.table.lock() else { return Err("poisoned".to_owned()) };
-                if table.broken || table.open.contains_key(&id) {
-                    // Two exchanges under one id could not be told apart: the later one is not sent.
-                    self.queued = begin;
-                    drop(table);
-                    report(&self.reports, &self.state, what, Outcome::ConnectFailed);
-                    continue;
-                }
-                table.open.insert(id, Exchange { what, end: self.queued, since: Instant::now(), function });
-                self.begun.push_back((begin, id, bound));
+            let Some((what, id, function, bound)) = what else {
+                self.outgoing.push(&frame, None);
+                continue;
+            };
+            let Ok(mut table) = self.state.table.lock() else { return Err("poisoned".to_owned()) };
+            if table.broken || table.open.contains_key(&id) {
+                // Two exchanges under one id could not be told apart: the later one is not sent.
+                drop(table);
+                report(&self.reports, &self.state, what, Outcome::ConnectFailed);
+                continue;
             }
-            self.ring.push(&frame);
+            let end = self.outgoing.push(&frame, Some((id, bound)));
+            table.open.insert(id, Exchange { what, end, since: Instant::now(), function });
         }
         Ok(())
     }
--- a/wrenseam/tests/transport.rs
+++ b/wrenseam/tests/transport.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 use wrenseam::core::{AttemptKey, Message, Payload, Request};
 use wrenseam::limits::Limits;
-use wrenseam::worker::frames::Frames;
+use wrenseam::worker::frames::{encode, Frames, Outgoing, Withheld};
 use wrenseam::worker::{Reports, Transport};
 
 /// A transport to this address, on one scheduler thread as the program has it.
@@ -130,3 +130,36 @@
         _ => panic!("the attempt did not end"),
     }
 }
+
+/// Bytes that leave, in pieces of this size.
+fn leave(outgoing: &mut Outgoing, mut bytes: usize) -> Vec<u8> {
+    let mut left = Vec::new();
+    while bytes > 0 && !outgoing.is_empty() {
+        let n = outgoing.front().len().min(bytes);
+        left.extend(&outgoing.front()[..n]);
+        outgoing.wrote(n);
+        bytes -= n;
+    }
+    left
+}
+
+/// The worker drains while the socket takes nothing more: calls of which no byte has left are taken back, and what
+/// has begun, what gives others up and what only asks still goes, whole and in order.
+#[test]
+fn a_drain_takes_back_unbegun_calls_and_nothing_else() {
+    let frame = |code, id| encode(code, id, "queue=c,path=7", b"body");
+    let (begun, unbegun, give_up) = (frame(2, 1), frame(2, 2), encode(3, 9, "", b""));
+    let (question, last) = (frame(6, 3), frame(2, 4));
+    let mut outgoing = Outgoing::new(4096);
+    outgoing.push(&begun, Some((1, true)));
+    outgoing.push(&unbegun, Some((2, true)));
+    outgoing.push(&give_up, None);
+    outgoing.push(&question, Some((3, false)));
+    outgoing.push(&last, Some((4, true)));
+    let mut left = leave(&mut outgoing, 5);
+    let end = (begun.len() + give_up.len() + question.len()) as u64;
+    assert_eq!(outgoing.withhold(), Withheld { ids: vec![2, 4], moved: vec![(3, end)] });
+    assert_eq!(outgoing.withhold(), Withheld::default(), "once");
+    left.extend(leave(&mut outgoing, usize::MAX));
+    assert_eq!(left, [begun, give_up, question].concat());
+}
