Use no call's id twice on a connection where an answer to it may still come

Seen in the tests: a call is taken back and another sent under its id at once; the first one's answer, crossing its give-up, ends the second as served, with a body that no worker made for it. The second copy of a good answer, some milliseconds late, does the same to a call that follows under its id.

At fault: worker/frames.rs: answers are matched by id among what is open, and an id was free again as soon as its call had been given up or answered. A connection now knows the last 256 such ids; a call under one of them is not sent there (never sent, and no fault of the worker's: it ended as a failed connect before, which takes a sound worker out).

Ruled out: the core's check of open ids (it ends with the request, not with the answer). Sound crossing that gets its test: a call that was turned away comes again to the same worker.

--- a/wrenseam/src/worker/frames.rs
+++ b/wrenseam/src/worker/frames.rs
@@ -22,6 +22,8 @@
 const UNLOAD: u8 = 8;
 const HEADER: usize = 16;
 const CHECK: usize = 4;
+/// Ids kept of the past: an answer crosses its give-up, or comes twice, within some calls of it.
+const PAST: usize = 256;
 
 /// One frame as bytes.
 pub fn encode(code: u8, id: u64, fields: &str, body: &[u8]) -> Vec<u8> {
@@ -156,11 +158,27 @@
 #[derive(Default)]
 struct Table {
     open: BTreeMap<u64, Exchange>,
+    /// Ids of calls given up or served here, the latest last: an answer to them may still come.
+    past: VecDeque<u64>,
     broken: bool,
     /// When an answer was last read here.
     heard: Option<Instant>,
 }
 
+impl Table {
+    /// Whether an answer under this id would be taken for another exchange's. Ids of orders are never used again.
+    fn knows(&self, id: u64) -> bool {
+        self.open.contains_key(&id) || self.past.contains(&id)
+    }
+
+    fn leave(&mut self, id: u64) {
+        if self.past.len() >= PAST {
+            self.past.pop_front();
+        }
+        self.past.push_back(id);
+    }
+}
+
 /// What the core's side, the writer and the reader of one connection share.
 #[derive(Default)]
 struct State {
@@ -642,10 +660,12 @@
                 continue;
             };
             let Ok(mut table) = self.state.table.lock() else { return Err("poisoned".to_owned()) };
-            if table.broken || table.open.contains_key(&id) {
-                // Two exchanges under one id could not be told apart: the later one is not sent.
+            if table.broken || table.knows(id) {
+                // Two exchanges under one id could not be told apart: the later one is not sent. That is no
+                // fault of the worker's.
+                let outcome = if table.broken { Outcome::ConnectFailed } else { Outcome::Moot };
                 drop(table);
-                report(&self.reports, &self.state, what, Outcome::ConnectFailed);
+                report(&self.reports, &self.state, what, outcome);
                 continue;
             }
             let end = self.outgoing.push(&frame, Some((id, bound)));
@@ -659,6 +679,9 @@
         let mut table = self.state.table.lock().ok()?;
         let id = table.open.iter().find(|(_, e)| e.what == what).map(|(&id, _)| id)?;
         table.open.remove(&id);
+        if matches!(what, What::Attempt(_)) {
+            table.leave(id);
+        }
         self.state.load.fetch_sub(1, Ordering::AcqRel);
         Some(id)
     }
@@ -695,7 +718,12 @@
         let exchange = {
             let mut table = state.table.lock().map_err(|_| "poisoned")?;
             table.heard = Some(Instant::now());
-            table.open.remove(&frame.id)
+            let exchange = table.open.remove(&frame.id);
+            // An answer that ended without a run may be followed by a further attempt under its id here.
+            if exchange.is_some() && outcome == Outcome::Ok {
+                table.leave(frame.id);
+            }
+            exchange
         };
         // An answer to what has ended already comes late and is dropped.
         let Some(exchange) = exchange else { continue };
--- a/wrenseam/tests/transport.rs
+++ b/wrenseam/tests/transport.rs
@@ -163,3 +163,54 @@
     left.extend(leave(&mut outgoing, usize::MAX));
     assert_eq!(left, [begun, give_up, question].concat());
 }
+
+fn ended(reports: &mpsc::Receiver<Message>) -> (AttemptKey, Outcome) {
+    match reports.recv_timeout(Duration::from_secs(20)) {
+        Ok(Message::Ended(key, report)) => (key, report.outcome),
+        _ => panic!("no attempt ended"),
+    }
+}
+
+/// A client takes a call back and sends another under its id at once, or after it was served: the answer to the
+/// first, or its second copy, must not end the other. That one is not sent where the first was.
+#[rstest]
+#[case::given_up(false)]
+#[case::served(true)]
+fn an_id_is_not_used_again_where_its_answer_may_still_come(#[case] served: bool) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (queue, reports) = mpsc::channel();
+    let limits = Limits::new(192, 1024, &Settings::default());
+    let mut transport = frames(listener.local_addr().expect("bound"), limits, queue);
+    let [first, second] = [1, 2].map(|request| AttemptKey { request, attempt: 0 });
+    transport.send(first, &request(9), 1_000_000);
+    let (mut stream, _) = listener.accept().expect("a connection");
+    assert_eq!(command(&mut stream).0, 2);
+    if served {
+        reply(&mut stream, 200, 9, "");
+        assert_eq!(ended(&reports), (first, Outcome::Ok));
+    } else {
+        transport.cancel(first);
+        assert_eq!(command(&mut stream).0, 3);
+    }
+    transport.send(second, &request(9), 1_000_000);
+    reply(&mut stream, 200, 9, ""); // the answer to the first crosses
+    assert_eq!(ended(&reports), (second, Outcome::Moot));
+}
+
+/// Turned away unseen, a call may come back to the same worker, on the same connection, under its id.
+#[test]
+fn a_call_turned_away_may_come_again() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let (queue, reports) = mpsc::channel();
+    let limits = Limits::new(192, 1024, &Settings::default());
+    let mut transport = frames(listener.local_addr().expect("bound"), limits, queue);
+    let mut stream = None;
+    for (attempt, (code, outcome)) in [(203, Outcome::Full), (200, Outcome::Ok)].into_iter().enumerate() {
+        let key = AttemptKey { request: 1, attempt };
+        transport.send(key, &request(9), 1_000_000);
+        let stream = stream.get_or_insert_with(|| listener.accept().expect("a connection").0);
+        assert_eq!(command(stream).0, 2);
+        reply(stream, code, 9, "");
+        assert_eq!(ended(&reports), (key, outcome));
+    }
+}
