Call a board anew that sends bytes but no lines, or hangs in a connect

Seen in the tests: a board whose head or event never ends, a byte now and then, is listened to for as long as it goes on (no second call in 10 s); with a connect time-out of 60 s in the settings a connect that hangs holds the watch for a minute, also across a move. What it has to tell counts as told 2 to 4 s on, so drains would be missed.

At fault: roster.rs, poll(): every byte counted as a word, and the connect's bound was the one for workers. Now only a line that ends counts, a head has to be whole within the board's silence, and a connect gets half of that.

Ruled out: silence before and after the head, a break inside an event, an event twice (sound; they get tests). The tests' own waits for the program to be ready and to end are bounded now.

--- a/wrenseam/src/roster.rs
+++ b/wrenseam/src/roster.rs
@@ -171,7 +171,9 @@
     board: &Board, address: SocketAddr, seen: &mut Seen, limits: &Limits, core: &Sender<Message>,
 ) -> Result<(), String> {
     let told = |e: std::io::Error| e.to_string();
-    let mut stream = TcpStream::connect_timeout(&address, limits.connect).map_err(told)?;
+    // However long workers may take to connect: what the board has to tell counts as told 4 s on.
+    let within = limits.connect.min(limits.board_silence / 2);
+    let mut stream = TcpStream::connect_timeout(&address, within).map_err(told)?;
     stream.set_read_timeout(Some(limits.board_check)).map_err(told)?;
     let call = format!(
         "GET /board/poll HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\nLast-Event-ID: {}\r\n\r\n",
@@ -185,9 +187,8 @@
     loop {
         match ring.fill(&mut stream) {
             Ok(0) => return Err("closed".to_owned()),
-            Ok(_) => heard = Instant::now(),
-            Err(e) if timed_out(&e) && heard.elapsed() < limits.board_silence => {}
-            Err(e) if timed_out(&e) => return Err("silent".to_owned()),
+            Ok(_) => {}
+            Err(e) if timed_out(&e) => {}
             Err(e) => return Err(e.to_string()),
         }
         // Guards against waiting at an address where nothing is told any more.
@@ -196,6 +197,12 @@
         }
         line.clear();
         ring.take(usize::MAX, &mut line);
+        // Only a line that has ended is a word: a head or an event that never ends tells nothing either.
+        if line.contains(&b'\n') && chunked.is_some() {
+            heard = Instant::now();
+        } else if heard.elapsed() >= limits.board_silence {
+            return Err("silent".to_owned());
+        }
         for &byte in &line {
             match &mut chunked {
                 None => {
--- a/wrenseam/tests/common/mod.rs
+++ b/wrenseam/tests/common/mod.rs
@@ -94,13 +94,15 @@
     pub known: Option<String>,
     /// Whoever reads the log goes away once the program listens.
     pub unread: bool,
+    /// The board named at the start, in place of the first stand-in.
+    pub board: Option<SocketAddr>,
 }
 
 impl Default for Plan {
     fn default() -> Self {
         let (speech, workers, sockets) = (Speech::Platform, Vec::new(), 256);
-        let (settings, known, unread) = (SETTINGS.to_owned(), None, false);
-        Plan { speech, workers, sockets, settings, known, unread }
+        let (settings, known, unread, board) = (SETTINGS.to_owned(), None, false, None);
+        Plan { speech, workers, sockets, settings, known, unread, board }
     }
 }
 
@@ -119,7 +121,9 @@
     /// The running program, as planned, once it is ready.
     pub fn with(plan: Plan) -> Stage {
         let stage = Stage::start(plan);
+        let until = Instant::now() + PATIENCE;
         while !get(stage.admin, "/healthz").starts_with("HTTP/1.1 200") {
+            assert!(Instant::now() < until, "it is not ready");
             std::thread::sleep(Duration::from_millis(10));
         }
         stage
@@ -163,7 +167,8 @@
             r#"{{"name":"t","seed":"2a","limits":{{"memory_mb":192,"sockets":{sockets}}},"settings":{settings},
                 "board":"BOARD","known":{{"rev":1,"notices":[{known}]}}}}"#
         );
-        let boards = [board(), board()];
+        let mut boards = [board(), board()];
+        boards[0].0 = plan.board.unwrap_or(boards[0].0);
         let config = write("config.json", told.replace("BOARD", &boards[0].0.to_string()));
         write(
             "endpoints.json",
@@ -213,7 +218,8 @@
     /// Waits for a line of the log that holds this.
     pub fn logged(&self, part: &str) {
         let until = Instant::now() + PATIENCE;
-        while !self.log.recv_timeout(until - Instant::now()).expect(part).contains(part) {}
+        let left = || until.saturating_duration_since(Instant::now());
+        while !self.log.recv_timeout(left()).expect(part).contains(part) {}
     }
 
     /// The descriptors that the program holds.
@@ -240,7 +246,14 @@
 
     /// Waits for the program's end.
     pub fn ended(&mut self) -> bool {
-        self.child.wait().expect("it ends").success()
+        let until = Instant::now() + Duration::from_secs(60);
+        loop {
+            if let Some(status) = self.child.try_wait().expect("waited for") {
+                return status.success();
+            }
+            assert!(Instant::now() < until, "it does not end");
+            std::thread::sleep(Duration::from_millis(10));
+        }
     }
 
     /// Names the other board in the configuration.
--- /dev/null
+++ b/wrenseam/tests/discovery.rs
@@ -0,0 +1,101 @@
+//! The board as it hangs, stops and breaks off: each test is the board, and forces one crossing.
+mod common;
+
+use common::{instance, tell, Plan, Stage, PATIENCE, SETTINGS};
+use rstest::rstest;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::time::{Duration, Instant};
+
+const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
+
+/// The next call of a board, its head read, within the tests' patience.
+fn called(listener: &TcpListener) -> (TcpStream, String) {
+    listener.set_nonblocking(true).expect("set");
+    let until = Instant::now() + PATIENCE;
+    loop {
+        if let Ok((mut stream, _)) = listener.accept() {
+            stream.set_nonblocking(false).expect("set");
+            stream.set_read_timeout(Some(PATIENCE)).expect("set");
+            let mut head = Vec::new();
+            while !head.ends_with(b"\r\n\r\n") {
+                let mut byte = [0];
+                stream.read_exact(&mut byte).expect("a head");
+                head.extend(byte);
+            }
+            return (stream, String::from_utf8(head).expect("text"));
+        }
+        assert!(Instant::now() < until, "the board was not called again");
+        std::thread::sleep(Duration::from_millis(5));
+    }
+}
+
+fn board() -> (TcpListener, Option<SocketAddr>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let at = listener.local_addr().ok();
+    (listener, at)
+}
+
+/// A board that takes the call and then comes to nothing is called anew; bytes alone are no word.
+#[rstest]
+#[case::silent_before_the_head("", "")]
+#[case::a_head_that_never_ends("HTTP/1.1 200 OK\r\nX-Long: ", "x")]
+#[case::silent_after_the_head(HEAD, "")]
+#[case::an_event_that_never_ends(&format!("{HEAD}id: 2\ndata: "), " ")]
+fn a_board_that_tells_nothing_is_called_again(#[case] begins: &str, #[case] drip: &'static str) {
+    let (listener, board) = board();
+    let _stage = Stage::start(Plan { board, ..Plan::default() });
+    let (mut stream, _) = called(&listener);
+    stream.write_all(begins.as_bytes()).expect("written");
+    let drips = std::thread::spawn(move || {
+        // Ends with the connection, or far behind the tests' patience.
+        for _ in 0..1_000 {
+            if stream.write_all(drip.as_bytes()).is_err() {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(50));
+        }
+    });
+    let (_, head) = called(&listener);
+    assert!(head.contains("Last-Event-ID: 1\r\n"), "{head}");
+    drop((listener, drips));
+}
+
+/// The board breaks off inside an event: it is asked for again, and counts once.
+#[test]
+fn a_break_inside_an_event_loses_nothing() {
+    let (listener, board) = board();
+    let stage = Stage::start(Plan { board, ..Plan::default() });
+    let (mut stream, _) = called(&listener);
+    let event = format!("{HEAD}id: 2\ndata: {{\"rev\":2,\"pool\":{{\"reset\":fal");
+    stream.write_all(event.as_bytes()).expect("written");
+    drop(stream);
+    let (mut stream, head) = called(&listener);
+    assert!(head.contains("Last-Event-ID: 1\r\n"), "{head}");
+    stream.write_all(HEAD.as_bytes()).expect("written");
+    let drains = instance("w0", "127.0.0.1:9".parse().expect("an address"), "draining", 0);
+    tell(&mut stream, 2, false, &[drains.clone()]);
+    tell(&mut stream, 2, false, &[drains.replace("draining", "ready")]);
+    tell(&mut stream, 3, false, &[drains.replace("w0", "w1")]);
+    stage.listed("w1", "draining", "the last event is in");
+    stage.listed("w0", "draining", "an event written twice counts once");
+}
+
+/// A connect that hangs, under settings that would wait a minute for a worker, and a move while it does.
+#[test]
+fn a_board_that_moves_while_a_connect_hangs_is_followed() {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("bound");
+    socket.listen(0).expect("listens");
+    let listener = TcpListener::from(socket);
+    let at = listener.local_addr().expect("bound");
+    // Fills the queue of connections: the next one gets no answer.
+    let mut fillers = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&at, Duration::from_millis(200)) {
+        fillers.push(stream);
+    }
+    let settings = SETTINGS.replace(r#""connect-timeout":250"#, r#""connect-timeout":60000"#);
+    let stage = Stage::with(Plan { settings, board: Some(at), ..Plan::default() });
+    stage.reload(false);
+    assert_eq!(stage.board_call().0, "1");
+}
