Skip an instance that cannot be read, not the list it came in

Seen in the tests: one instance with an address that is none, in a whole list of four, drops the whole event after the second try; among what is known at the start it leaves the program without workers and never ready.

At fault: roster.rs, notice(): the first bad instance ended the reading; lib.rs: a known notice that was skipped counted as known, so the board was never asked for it. Now the rest of a list counts after the second try, a known worker of which no more could be read stays as it is, the log names what was skipped, and the board is asked for all it knows when something known at the start could not be read.

Ruled out: nothing else reads lists.

--- a/wrenseam/src/core/mod.rs
+++ b/wrenseam/src/core/mod.rs
@@ -202,7 +202,7 @@
             }
             Message::Ended(key, report) => self.ended(key, report),
             Message::Ordered(order, outcome, copies) => self.ordered(order, outcome, copies),
-            Message::Members { source, full, members } => self.members(source, full, members),
+            Message::Members { source, full, members, kept } => self.members(source, full, members, &kept),
             Message::Inspect(reply) => {
                 let _ = reply.send(self.inspect()); // who asked may have left
             }
@@ -490,10 +490,10 @@
         }
     }
 
-    fn members(&mut self, source: Speech, full: bool, mut members: Vec<Member>) {
+    fn members(&mut self, source: Speech, full: bool, mut members: Vec<Member>, kept: &[String]) {
         one_at_an_address(&mut members);
         if full {
-            let listed: Vec<&String> = members.iter().map(|m| &m.id).collect();
+            let listed: Vec<&String> = members.iter().map(|m| &m.id).chain(kept).collect();
             let left = |p: &&Peer| p.member.speech == source && !listed.contains(&&p.member.id);
             let gone = |p: &Peer| Member { state: WorkerState::Gone, ..p.member.clone() };
             let gone: Vec<Member> = self.peers.values().filter(left).map(gone).collect();
--- a/wrenseam/src/lib.rs
+++ b/wrenseam/src/lib.rs
@@ -55,18 +55,21 @@
             }
         })
         .map_err(|e| format!("core thread: {e}"))?;
-    let mut last = 0;
+    let mut sound = true;
     for event in config::notices(&config.known) {
         match roster::notice(event) {
-            Ok((full, members)) => {
-                let _ = queue.send(Message::Members { source: Speech::Frames, full, members });
+            Ok(notice) => {
+                sound &= notice.skipped.is_empty();
+                roster::pass(notice, &queue);
+            }
+            Err(why) => {
+                sound = false;
+                log!("start: known notice skipped: {why}");
             }
-            Err(why) => log!("start: known notice skipped: {why}"),
         }
     }
-    if let Some(rev) = bramblepath::json::whole(&config.known, "rev") {
-        last = rev;
-    }
+    // What could not be read is asked for again: the board tells all it knows to whoever knows nothing.
+    let last = bramblepath::json::whole(&config.known, "rev").filter(|_| sound).unwrap_or(0);
     let board = Arc::new(roster::Board::new(config.board));
     let (own, within, core) = (board.clone(), limits.clone(), queue.clone());
     net::spawn(limits.stack, move || roster::follow(&own, last, &within, &core))
@@ -77,7 +80,12 @@
     if let Some(kserve) = config.kserve {
         if let Some(endpoints) = &kserve.endpoints {
             let members = roster::endpoints(endpoints).map_err(|e| format!("endpoints: {e}"))?;
-            let _ = queue.send(Message::Members { source: Speech::Kserve, full: true, members });
+            let _ = queue.send(Message::Members {
+                source: Speech::Kserve,
+                full: true,
+                members,
+                kept: Vec::new(),
+            });
         }
         let front = listen(kserve.listen, &doors, "kserve", front::kserve::serve)?;
         announce("KServe v2", &front);
--- a/wrenseam/src/roster.rs
+++ b/wrenseam/src/roster.rs
@@ -14,12 +14,36 @@
 use std::sync::mpsc::Sender;
 use std::time::Instant;
 
-/// One event of the board: whether it is the whole list, and the members it names.
-pub fn notice(event: &Object) -> Result<(bool, Vec<Member>), String> {
+/// One event of the board.
+#[derive(Debug, PartialEq)]
+pub struct Notice {
+    /// Whether this is the whole list.
+    pub full: bool,
+    /// The members it names.
+    pub members: Vec<Member>,
+    /// What could not be read of it: by its id where that could be, and why.
+    pub skipped: Vec<(Option<String>, String)>,
+}
+
+/// Reads an event of the board; an instance that cannot be used is skipped, and the others count.
+pub fn notice(event: &Object) -> Result<Notice, String> {
     let pool = part(event, "pool").ok_or("no 'pool'")?;
-    let instances = list(pool, "instances").iter().filter_map(object);
-    let members = instances.map(instance).collect::<Result<Vec<_>, String>>()?;
-    Ok((flag(pool, "reset"), members))
+    let full = flag(pool, "reset");
+    // Guards the list from a whole one that was cut off: it would leave out all.
+    if full && !matches!(pool.get("instances"), Some(Value::Array(_))) {
+        return Err("a whole list without 'instances'".to_owned());
+    }
+    let (mut members, mut skipped) = (Vec::new(), Vec::new());
+    for value in list(pool, "instances") {
+        let fields = object(value);
+        match fields.ok_or("an instance that is no object".to_owned()).and_then(instance) {
+            Ok(member) => members.push(member),
+            Err(why) => {
+                skipped.push((fields.and_then(|f| text(f, "instanceId")).map(str::to_owned), why));
+            }
+        }
+    }
+    Ok(Notice { full, members, skipped })
 }
 
 fn instance(fields: &Object) -> Result<Member, String> {
@@ -235,6 +259,14 @@
     }
 }
 
+/// Hands a notice to the core; what was skipped of it is named in the log.
+pub fn pass(notice: Notice, core: &Sender<Message>) {
+    let Notice { full, members, skipped } = notice;
+    skipped.iter().for_each(|(_, why)| note!("board: an instance was skipped: {why}"));
+    let kept = skipped.into_iter().filter_map(|(id, _)| id).collect();
+    let _ = core.send(Message::Members { source: Speech::Frames, full, members, kept });
+}
+
 /// Passes an event on, once.
 fn tell(id: &str, data: &str, seen: &mut Seen, core: &Sender<Message>) -> Result<(), String> {
     let number = id.parse().map_err(|_| format!("an event without a number: {id}"))?;
@@ -246,16 +278,15 @@
         Ok(Value::Object(event)) => notice(&event),
         _ => Err("it is no JSON object".to_owned()),
     };
+    let fault = event.as_ref().map_or_else(Some, |n| n.skipped.first().map(|s| &s.1));
+    // Asked for once more, as it may have been spoilt on its way; the second time what cannot be read of it is
+    // passed over, or the board would be called for it for ever.
+    if let Some(why) = fault.filter(|_| seen.spoilt != Some(number)) {
+        seen.spoilt = Some(number);
+        return Err(format!("event {number}: {why}"));
+    }
     match event {
-        Ok((full, members)) => {
-            let _ = core.send(Message::Members { source: Speech::Frames, full, members });
-        }
-        // Asked for once more, as it may have been spoilt on its way; the second time it is passed over, or
-        // the board would be called for it for ever.
-        Err(why) if seen.spoilt != Some(number) => {
-            seen.spoilt = Some(number);
-            return Err(format!("event {number}: {why}"));
-        }
+        Ok(notice) => pass(notice, core),
         Err(why) => note!("board: event {number} skipped: {why}"),
     }
     seen.last = number;
--- a/wrenseam/tests/codecs.rs
+++ b/wrenseam/tests/codecs.rs
@@ -5,7 +5,7 @@
 use wrenseam::core::Speech;
 use wrenseam::http::{Chunked, Coded, Head};
 use wrenseam::ring::Ring;
-use wrenseam::roster::{endpoints, notice, Events};
+use wrenseam::roster::{endpoints, notice, Events, Notice};
 use wrenseam::worker::frames::Decoder;
 
 fn answer(code: u8, body: &[u8]) -> Vec<u8> {
@@ -86,9 +86,15 @@
     let text = r#"{"rev":41,"pool":{"generation":7,"reset":true,"instances":[{"instanceId":"s-1","hostPort":
         "127.0.0.1:9","zone":"east","machineType":"std","cell":2,"lifecycle":"draining","startedAtMs":5}]}}"#;
     let json = parse(text).expect("JSON");
-    let (full, members) = notice(object(&json).expect("an object")).expect("sound");
+    let Notice { full, members, skipped } = notice(object(&json).expect("an object")).expect("sound");
     let m = &members[0];
-    assert!(full && m.state == WorkerState::Draining && m.started_at == 5_000 && m.cell == 2, "{m:?}");
+    assert!(
+        full && skipped.is_empty()
+            && m.state == WorkerState::Draining
+            && m.started_at == 5_000
+            && m.cell == 2,
+        "{m:?}"
+    );
 }
 
 /// Envoy's rules: an endpoint of unknown health takes work, one that drains takes nothing new.
--- a/wrenseam/tests/discovery.rs
+++ b/wrenseam/tests/discovery.rs
@@ -1,7 +1,7 @@
 //! The board as it hangs, stops and breaks off: each test is the board, and forces one crossing.
 mod common;
 
-use common::{instance, tell, Plan, Stage, PATIENCE, SETTINGS};
+use common::{instance, tell, Hand, Plan, Stage, PATIENCE, SETTINGS};
 use rstest::rstest;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
@@ -99,3 +99,37 @@
     stage.reload(false);
     assert_eq!(stage.board_call().0, "1");
 }
+
+const BAD: &str = r#"{"instanceId":"odd","hostPort":"nowhere","lifecycle":"ready"}"#;
+
+/// An instance that cannot be used, in a whole list: asked for once more, then passed over by itself; the others
+/// count, and a known worker of which no more could be read stays.
+#[test]
+fn an_instance_that_cannot_be_read_spoils_no_others() {
+    let (listener, board) = board();
+    let (worker, other) = (Hand::new(), Hand::new());
+    let stage = Stage::with(Plan { workers: vec![worker.address()], board, ..Plan::default() });
+    for _ in 0..2 {
+        let (mut stream, head) = called(&listener);
+        assert!(head.contains("Last-Event-ID: 1\r\n"), "{head}");
+        stream.write_all(HEAD.as_bytes()).expect("written");
+        let spoilt = instance("w0", worker.address(), "asleep", 0);
+        let fine = instance("fine", other.address(), "ready", 0);
+        tell(&mut stream, 2, true, &[BAD.to_owned(), spoilt, fine, "7".to_owned()]);
+    }
+    stage.listed("fine", "ready", "it can be read");
+    stage.listed("w0", "ready", "it is as it was");
+    stage.logged("an instance was skipped: odd: address nowhere");
+}
+
+/// The same among what is known at the start: the rest counts, and the board is asked for all.
+#[test]
+fn a_known_instance_that_cannot_be_read_is_asked_for() {
+    let worker = Hand::new();
+    let fine = instance("w0", worker.address(), "ready", 0);
+    let known =
+        Some(format!(r#"{{"rev":1,"pool":{{"reset":true,"instances":[{BAD},{fine}]}}}}, {{"rev":2}}"#));
+    let stage = Stage::with(Plan { known, ..Plan::default() });
+    stage.listed("w0", "ready", "it can be read");
+    assert_eq!(stage.board_call().0, "0");
+}
