--- a/wrenseam/tests/common/mod.rs
+++ b/wrenseam/tests/common/mod.rs
@@ -33,6 +33,10 @@
 use std::sync::Arc;
 
 use std::time::{Duration, Instant};
+use wrenseam::core::Message;
+use wrenseam::front::{accept, Door, Doors};
+use wrenseam::limits::{Budget, Limits};
+use wrenseam::net::Seats;
 
 pub const FUNCTION: &str = "7f3a9c21e0b4d655";
 pub const PATIENCE: Duration = Duration::from_secs(10);
@@ -644,6 +648,35 @@
     }
 }
 
+/// What fronts need, with the core's end of the queue.
+pub fn doors(change: impl FnOnce(&mut Limits)) -> (Doors, Receiver<Message>) {
+    let mut limits = Limits::new(192, 256, &bramblepath::Settings::default());
+    change(&mut limits);
+    wrenseam::net::schedule(&limits);
+    let (core, queue) = channel();
+    let limits = Arc::new(limits);
+    let doors = Doors {
+        core,
+        budget: Budget::new(limits.held_bytes),
+        seats: Seats::new(limits.client_connections),
+        limits,
+        unsent: Arc::default(),
+        shared: Arc::default(),
+        reading: Arc::default(),
+        closing: Arc::default(),
+    };
+    (doors, queue)
+}
+
+/// The FastCGI front of these doors on a listener of its own.
+pub fn fastcgi_front(doors: &Doors) -> SocketAddr {
+    let door = Door::new(may::net::TcpListener::bind("127.0.0.1:0").expect("a port"));
+    let (address, doors) = (door.listener.local_addr().expect("bound"), doors.clone());
+    let run = move || accept(&door, &doors, "test", wrenseam::front::fastcgi::serve);
+    wrenseam::net::spawn(64 * 1024, run).expect("a coroutine");
+    address
+}
+
 /// A worker that a test answers for, call by call; orders it answers by itself, as if all stood loaded.
 pub struct Hand {
     listener: TcpListener,
--- a/wrenseam/tests/discovery.rs
+++ b/wrenseam/tests/discovery.rs
@@ -74,7 +74,7 @@
     assert!(head.contains("Last-Event-ID: 1\r\n"), "{head}");
     stream.write_all(HEAD.as_bytes()).expect("written");
     let drains = instance("w0", "127.0.0.1:9".parse().expect("an address"), "draining", 0);
-    tell(&mut stream, 2, false, &[drains.clone()]);
+    tell(&mut stream, 2, false, std::slice::from_ref(&drains));
     tell(&mut stream, 2, false, &[drains.replace("draining", "ready")]);
     tell(&mut stream, 3, false, &[drains.replace("w0", "w1")]);
     stage.listed("w1", "draining", "the last event is in");
--- a/wrenseam/tests/ending.rs
+++ b/wrenseam/tests/ending.rs
@@ -1,37 +1,16 @@
 //! A planned end, its parts held at gates: what has connected, and what is on its way between coroutines.
 mod common;
 
-use common::{connect, fastcgi, PATIENCE};
+use common::{connect, doors, fastcgi, fastcgi_front, PATIENCE};
 use may::net::TcpListener;
 use std::io::{Read, Write};
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::{channel, Receiver, Sender};
-use std::sync::{Arc, Mutex};
+use std::sync::Mutex;
 use std::time::{Duration, Instant};
 use wrenseam::core::Message;
-use wrenseam::front::{accept, fastcgi::serve, Door, Doors};
-use wrenseam::limits::{Budget, Limits};
-use wrenseam::net::{schedule, spawn, Seat, Seats, Socket};
-
-/// What fronts need, with the core's end of the queue.
-fn doors(change: impl FnOnce(&mut Limits)) -> (Doors, Receiver<Message>) {
-    let mut limits = Limits::new(192, 256, &bramblepath::Settings::default());
-    change(&mut limits);
-    schedule(&limits);
-    let (core, queue) = channel();
-    let limits = Arc::new(limits);
-    let doors = Doors {
-        core,
-        budget: Budget::new(limits.held_bytes),
-        seats: Seats::new(limits.client_connections),
-        limits,
-        unsent: Arc::default(),
-        shared: Arc::default(),
-        reading: Arc::default(),
-        closing: Arc::default(),
-    };
-    (doors, queue)
-}
+use wrenseam::front::{accept, Door, Doors};
+use wrenseam::net::{spawn, Seat, Socket};
 
 static GATE: Mutex<Option<(Sender<()>, Receiver<()>)>> = Mutex::new(None);
 
@@ -80,11 +59,7 @@
 #[test]
 fn a_request_on_its_way_to_the_core_is_counted() {
     let (doors, queue) = doors(|_| ());
-    let door = Door::new(TcpListener::bind("127.0.0.1:0").expect("a port"));
-    let address = door.listener.local_addr().expect("bound");
-    let within = doors.clone();
-    spawn(64 * 1024, move || accept(&door, &within, "test", serve)).expect("a coroutine");
-    let mut client = connect(address);
+    let mut client = connect(fastcgi_front(&doors));
     let params = [
         ("SCRIPT_NAME", "/v1/any"),
         ("HTTP_REQ_ID", "00000000000000aa"),
