Close no usual client's connection for its seat while it sends a request

Seen in the test: all seats are taken, a client that has been answered before has sent a part of its next request, and another connects: the first one's connection is closed, and with it the request that comes.

At fault: net.rs, Seats::clear(): only requests that had come whole counted as open. A part that has been read counts now on connections that have been of use; on others those without one go first.

The test fails without it.

--- a/wrenseam/src/front/fastcgi.rs
+++ b/wrenseam/src/front/fastcgi.rs
@@ -212,6 +212,7 @@
                 self.take(kind, u16::from_be_bytes([i0, i1]), &got[HEADER..HEADER + content])?;
                 got.clear();
             }
+            self.side.occupant.reads(!self.partial.is_empty() || !got.is_empty());
             if looked.elapsed() >= limits.client_check {
                 looked = Instant::now();
                 if !got.is_empty()
--- a/wrenseam/src/front/kserve.rs
+++ b/wrenseam/src/front/kserve.rs
@@ -138,6 +138,7 @@
         let mut part: Option<(Instant, Reading)> = None; // of a request that has not come whole
         stream.set_read_timeout(limits.client_check).map_err(|e| e.to_string())?;
         loop {
+            self.side.occupant.reads(part.is_some());
             match ring.fill(&mut stream) {
                 Ok(0) => return Ok(()),
                 Ok(_) => {}
--- a/wrenseam/src/net.rs
+++ b/wrenseam/src/net.rs
@@ -189,6 +189,8 @@
     since: Instant,
     /// Whether a request of it has been served or refused: others may never say anything of use.
     proven: bool,
+    /// Whether a request has been read in part.
+    part: bool,
 }
 
 /// One client connection, as the seats know it.
@@ -220,10 +222,16 @@
     /// A request is owed nothing any more; `proven` if it was one that workers could take.
     pub fn ended(&self, proven: bool) {
         self.change(|u| {
-            *u = Use { open: u.open.saturating_sub(1), since: Instant::now(), proven: u.proven || proven };
+            (u.open, u.since) = (u.open.saturating_sub(1), Instant::now());
+            u.proven |= proven;
         });
     }
 
+    /// Whether something of a request has been read and the rest of it has not.
+    pub fn reads(&self, part: bool) {
+        self.change(|u| u.part = part);
+    }
+
     /// Something was answered at once.
     pub fn heard(&self) {
         self.change(|u| u.since = Instant::now());
@@ -238,7 +246,7 @@
     /// memory against connections that say nothing, or ask once and stay. Usual clients close sooner.
     pub fn outstayed(&self, limits: &Limits) -> bool {
         let Ok(state) = self.state.lock() else { return true };
-        let Use { open, since, proven } = state.0;
+        let Use { open, since, proven, .. } = state.0;
         open == 0 && since.elapsed() > if proven { limits.client_idle } else { limits.first_request }
     }
 }
@@ -255,7 +263,7 @@
         if taken.len() >= self.most {
             return None;
         }
-        let state = Mutex::new((Use { open: 0, since: Instant::now(), proven: false }, None));
+        let state = Mutex::new((Use { open: 0, since: Instant::now(), proven: false, part: false }, None));
         let occupant = Arc::new(Occupant { number: connection_number(), state });
         taken.insert(occupant.number, occupant.clone());
         Some(Seat { seats: self.clone(), occupant })
@@ -271,8 +279,10 @@
         let new = taken.values().any(new);
         let idle = |o: &Arc<Occupant>| {
             let state = o.state.lock().ok()?;
-            let out = state.1.clone().filter(|_| state.0.open == 0)?;
-            Some(((state.0.proven, state.0.since), out))
+            // A request on its way to one that has been of use is a usual client's.
+            let usual = state.0.open > 0 || state.0.part && state.0.proven;
+            let out = state.1.clone().filter(|_| !usual)?;
+            Some(((state.0.proven, state.0.part, state.0.since), out))
         };
         let mut idle: Vec<_> = taken.values().filter_map(idle).collect();
         drop(taken);
--- a/wrenseam/tests/clients.rs
+++ b/wrenseam/tests/clients.rs
@@ -2,10 +2,12 @@
 mod common;
 
 use common::{call, connect, doors, fastcgi_answer, fastcgi_front, PATIENCE};
-use std::io::Write;
+use std::io::{Read, Write};
+use std::sync::atomic::Ordering;
 use std::sync::mpsc::Receiver;
 use std::sync::Arc;
-use wrenseam::core::{Client, Message};
+use std::time::Instant;
+use wrenseam::core::{Answer, Client, Message};
 
 /// The next request that reaches the core: its body, whom it is owed to and the tag.
 fn taken(queue: &Receiver<Message>) -> (Vec<u8>, Arc<dyn Client>, u64) {
@@ -24,7 +26,7 @@
     let mut client = connect(fastcgi_front(&doors));
     client.write_all(&call(9, "00000000000000a9", "9000", "open")).expect("written");
     assert_eq!(taken(&queue).0, b"open");
-    for id in 1..8 {
+    for id in 10..24 {
         client.write_all(&call(id, "00000000000000a1", "9000", &"x".repeat(15_000))).expect("written");
         assert_eq!(fastcgi_answer(&mut client).expect("an answer").2, 2, "overloaded");
     }
@@ -43,3 +45,27 @@
     client.write_all(&call(1, "00000000000000a2", "9000", "anew")).expect("written");
     assert_eq!(taken(&queue).0, b"anew");
 }
+
+/// All seats are taken and another client connects: one that is sending its next request keeps its connection.
+#[test]
+fn a_usual_client_keeps_its_seat_while_it_sends() {
+    let (doors, queue) = doors(|limits| limits.client_connections = 1);
+    let address = fastcgi_front(&doors);
+    let mut client = connect(address);
+    client.write_all(&call(1, "00000000000000a1", "9000", "first")).expect("written");
+    let (_, owed, tag) = taken(&queue);
+    owed.answer(tag, Answer::Refused { wait: 0 });
+    assert!(fastcgi_answer(&mut client).expect("an answer").0.starts_with("Status: 503"));
+    let next = call(2, "00000000000000a2", "9000", "next");
+    let (begin, rest) = next.split_at(20);
+    client.write_all(begin).expect("written");
+    let until = Instant::now() + PATIENCE;
+    while doors.reading.load(Ordering::Acquire) == 0 {
+        assert!(Instant::now() < until, "the part is not read");
+        std::thread::yield_now();
+    }
+    let mut other = connect(address);
+    assert_eq!(other.read(&mut [0]).unwrap_or(0), 0, "there is no seat for it");
+    client.write_all(rest).expect("written");
+    assert_eq!(taken(&queue).0, b"next");
+}
