Keep a client's seat taken until its connection is closed

Seen in the test: a client asks much, reads nothing and ends its side; the reader gives the seat back at once, while the writer holds the descriptor for up to 5 s more. Such clients by the hundred would take the descriptors of workers.

At fault: front/fastcgi.rs, serve(), and front/kserve.rs, connection(): the seat ended with the reader. The writer holds it too now (net.rs, Outbox::start).

Ruled out: the time of the writer (5 s without progress, kept: slow readers are owed what was asked). The test fails without the change.

--- a/wrenseam/src/front/fastcgi.rs
+++ b/wrenseam/src/front/fastcgi.rs
@@ -156,7 +156,8 @@
 /// Serves one connection until it ends.
 pub fn serve(stream: Socket, doors: &Doors, seat: Seat) {
     let peer = stream.peer_addr().map_or("?".to_owned(), |p| p.to_string());
-    let out = match doors.outbox(stream.clone()) {
+    let seat = Arc::new(seat);
+    let out = match doors.outbox(stream.clone(), seat.clone()) {
         Ok(out) => out,
         Err(e) => return note!("fastcgi {peer}: closed: {e}"),
     };
--- a/wrenseam/src/front/kserve.rs
+++ b/wrenseam/src/front/kserve.rs
@@ -98,7 +98,8 @@
 
 fn connection(stream: Socket, doors: &Doors, seat: Seat, front: &'static str, handle: Handle) {
     let peer = stream.peer_addr().map_or("?".to_owned(), |p| p.to_string());
-    let out = match doors.outbox(stream.clone()) {
+    let seat = Arc::new(seat);
+    let out = match doors.outbox(stream.clone(), seat.clone()) {
         Ok(out) => out,
         Err(e) => return note!("{front} {peer}: closed: {e}"),
     };
--- a/wrenseam/src/front/mod.rs
+++ b/wrenseam/src/front/mod.rs
@@ -38,8 +38,8 @@
 
 impl Doors {
     /// Starts the writer of a client connection.
-    pub fn outbox(&self, stream: Socket) -> std::io::Result<Outbox> {
-        Outbox::start(stream, &self.limits, &self.budget, &self.unsent)
+    pub fn outbox(&self, stream: Socket, seat: Arc<Seat>) -> std::io::Result<Outbox> {
+        Outbox::start(stream, seat, &self.limits, &self.budget, &self.unsent)
     }
 }
 
--- a/wrenseam/src/net.rs
+++ b/wrenseam/src/net.rs
@@ -109,16 +109,20 @@
 }
 
 impl Outbox {
-    /// Starts the writer of a connection. `unsent` counts bytes over all connections.
+    /// Starts the writer of a connection, which keeps the seat until the last byte is written or given up: the
+    /// descriptor is taken as long. `unsent` counts bytes over all connections.
     pub fn start(
-        stream: Socket, limits: &Arc<Limits>, budget: &Budget, unsent: &Arc<AtomicUsize>,
+        stream: Socket, seat: Arc<Seat>, limits: &Arc<Limits>, budget: &Budget, unsent: &Arc<AtomicUsize>,
     ) -> io::Result<Outbox> {
         let (chunks, queue) = channel();
         let waiting = Arc::new(AtomicUsize::new(0));
         let (most, stack) = (limits.unsent_per_connection, limits.stack);
         let out = Outbox { chunks, waiting, unsent: unsent.clone(), budget: budget.clone(), most };
         let (limits, waiting, unsent) = (limits.clone(), out.waiting.clone(), out.unsent.clone());
-        spawn(stack, move || write_out(stream, &queue, &limits, &waiting, &unsent))?;
+        spawn(stack, move || {
+            write_out(stream, &queue, &limits, &waiting, &unsent);
+            drop(seat);
+        })?;
         Ok(out)
     }
 
--- a/wrenseam/tests/clients.rs
+++ b/wrenseam/tests/clients.rs
@@ -1,7 +1,7 @@
 //! Usual clients in unlucky moments, met by the FastCGI front; the test is the core.
 mod common;
 
-use common::{call, connect, doors, fastcgi_answer, fastcgi_front, PATIENCE};
+use common::{call, connect, doors, fastcgi, fastcgi_answer, fastcgi_front, PATIENCE};
 use std::io::{Read, Write};
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::Receiver;
@@ -69,3 +69,25 @@
     client.write_all(rest).expect("written");
     assert_eq!(taken(&queue).0, b"next");
 }
+
+/// A client leaves without reading what it asked for: while that is still being written, its seat is not given away.
+#[test]
+fn a_seat_is_taken_until_its_connection_is_closed() {
+    let (doors, queue) = doors(|limits| limits.client_connections = 1);
+    let mut client = connect(fastcgi_front(&doors));
+    let question = fastcgi(1, &[("SCRIPT_NAME", "/healthz")], b"").repeat(500);
+    // Until the socket takes no more answers; far below what may wait for one client.
+    while doors.unsent.load(Ordering::Acquire) < 100_000 {
+        client.write_all(&question).expect("written");
+    }
+    client.shutdown(std::net::Shutdown::Write).expect("open");
+    while !matches!(queue.recv_timeout(PATIENCE).expect("it has left"), Message::Hangup(_)) {}
+    assert!(doors.unsent.load(Ordering::Acquire) > 0, "still being written");
+    assert!(doors.seats.take().is_none(), "two connections on one seat");
+    client.read_to_end(&mut Vec::new()).expect("the rest");
+    let until = Instant::now() + PATIENCE;
+    while doors.seats.take().is_none() {
+        assert!(Instant::now() < until, "the seat is not given back");
+        std::thread::yield_now();
+    }
+}
