Test three crossings of clients that leave; all were found sound

A call given up while its connection comes up is not written; a client that leaves with 32 requests open is seen and all are taken back; one that leaves while its request waits for a load is forgotten. No code is changed.

--- /dev/null
+++ b/wrenseam/tests/leaving.rs
@@ -0,0 +1,116 @@
+//! Clients that leave while what they asked for waits somewhere: nothing of it begins any more.
+mod common;
+
+use common::{call, connect, fastcgi_answer, frame, Hand, Plan, Received, Stage, PATIENCE};
+use std::collections::BTreeSet;
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{mpsc, Arc};
+use std::time::{Duration, Instant};
+use wrenseam::core::{AttemptKey, Payload, Request};
+use wrenseam::limits::Limits;
+use wrenseam::worker::{frames::Frames, Reports, Transport};
+
+/// A call waits for its connection, is given up, and only then the connection comes up: nothing is written on it.
+#[test]
+fn a_call_given_up_while_its_connection_comes_up_is_not_written() {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("bound");
+    socket.listen(0).expect("listens");
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().expect("bound");
+    // Fills the queue of connections: the next one gets no answer until some are taken.
+    let mut fillers = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) {
+        fillers.push(stream);
+    }
+    let mut limits = Limits::new(192, 1024, &bramblepath::Settings::default());
+    limits.connect = Duration::from_secs(60);
+    wrenseam::net::schedule(&limits);
+    let (queue, _reports) = mpsc::channel();
+    let mut transport = Frames::new(address, Arc::new(limits), Reports(queue));
+    let request = Request {
+        wire_id: 9,
+        class: "tile-render".to_owned(),
+        tenant: String::new(),
+        function: 7,
+        wait: 60_000_000,
+        read_at: Instant::now(),
+        token: None,
+        retry: false,
+        memory_mb: 0.0,
+        lanes: 1,
+        load_time: 0,
+        payload: Payload::Bytes(Vec::new()),
+        held: None,
+        reading: None,
+    };
+    let key = AttemptKey { request: 1, attempt: 0 };
+    transport.send(key, &Arc::new(request), 60_000_000);
+    transport.cancel(key);
+    let accepted: Vec<TcpStream> = (0..=fillers.len()).map(|_| listener.accept().expect("one").0).collect();
+    // What waits is written before the connection is let go.
+    transport.unload(7);
+    drop((transport, fillers));
+    for mut stream in accepted {
+        let mut got = Vec::new();
+        stream.read_to_end(&mut got).expect("closed");
+        assert!(got.is_empty() || got[1] == 8, "more than the order to unload: {got:?}");
+    }
+}
+
+/// A client leaves with as many requests open as its connection takes: the close is seen, and all are taken back.
+#[test]
+fn a_client_that_leaves_at_its_cap_takes_all_back() {
+    let mut worker = Hand::new();
+    let stage = Stage::with(Plan { workers: vec![worker.address()], ..Plan::default() });
+    let mut client = connect(stage.front);
+    let mut out = BTreeSet::new();
+    for n in 1..=32u16 {
+        client.write_all(&call(n, &format!("{n:016x}"), "60000", "x")).expect("written");
+        out.insert(worker.command().id);
+    }
+    assert_eq!(out.len(), 32);
+    client.write_all(&call(33, "00000000000000a1", "60000", "x")).expect("written");
+    assert_eq!(fastcgi_answer(&mut client).expect("an answer").2, 2, "overloaded");
+    drop(client);
+    while !out.is_empty() {
+        let command = worker.command();
+        assert!(command.code == 3 && out.remove(&command.id), "code {}", command.code);
+    }
+    stage.shows(r#""open_requests":0"#);
+}
+
+/// A client leaves while its request waits for a load: once the copy stands, nothing is sent for it.
+#[test]
+fn a_client_that_leaves_while_its_call_waits_for_a_load_is_forgotten() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let workers = vec![listener.local_addr().expect("bound")];
+    let settings = common::SETTINGS.replace(r#""when-absent":"load""#, r#""when-absent":"miss""#);
+    let stage = Stage::with(Plan { workers, settings, ..Plan::default() });
+    let mut client = connect(stage.front);
+    client.write_all(&call(1, "00000000000000a1", "60000", "gone")).expect("written");
+    let (mut stream, _) = listener.accept().expect("a connection");
+    stream.set_read_timeout(Some(PATIENCE)).expect("set");
+    let load = loop {
+        let order = Received::read(&mut stream).expect("an order");
+        assert_eq!(order.code, 6, "a call before the copy stands");
+        if order.field("slots_up") != "0" {
+            break order;
+        }
+        stream.write_all(&frame(200, order.id, "slots_up=0", &[])).expect("written");
+    };
+    drop(client);
+    stage.shows(r#""open_requests":0"#);
+    stream.write_all(&frame(200, load.id, "slots_up=1", &[])).expect("written");
+    let mut other = connect(stage.front);
+    other.write_all(&call(1, "00000000000000a2", "60000", "other")).expect("written");
+    let first = loop {
+        let command = Received::read(&mut stream).expect("a command");
+        match command.code {
+            6 => stream.write_all(&frame(200, command.id, "slots_up=1", &[])).expect("written"),
+            _ => break command,
+        }
+    };
+    assert_eq!((first.code, &first.body[..]), (2, &b"other"[..]));
+}
