Let answers through to clients that read while requests fill the bytes held

Seen in the test: one client's body fills the bytes held over all requests; the next answer to another, which has nothing unread, closes that one's connection ("client: closed, 0 bytes of answers wait unread"), and what is open there is lost.

At fault: net.rs, Outbox::send(): an answer needed its part of the same bound as requests that come.

--- a/wrenseam/src/net.rs
+++ b/wrenseam/src/net.rs
@@ -106,6 +106,7 @@
     unsent: Arc<AtomicUsize>,
     budget: Budget,
     most: usize,
+    little: usize,
 }
 
 impl Outbox {
@@ -116,8 +117,9 @@
     ) -> io::Result<Outbox> {
         let (chunks, queue) = channel();
         let waiting = Arc::new(AtomicUsize::new(0));
-        let (most, stack) = (limits.unsent_per_connection, limits.stack);
-        let out = Outbox { chunks, waiting, unsent: unsent.clone(), budget: budget.clone(), most };
+        let (most, little, stack) = (limits.unsent_per_connection, limits.client_ring, limits.stack);
+        let (unsent_all, budget) = (unsent.clone(), budget.clone());
+        let out = Outbox { chunks, waiting, unsent: unsent_all, budget, most, little };
         let (limits, waiting, unsent) = (limits.clone(), out.waiting.clone(), out.unsent.clone());
         spawn(stack, move || {
             write_out(stream, &queue, &limits, &waiting, &unsent);
@@ -126,12 +128,15 @@
         Ok(out)
     }
 
-    /// Queues bytes. A client that does not read what it is owed loses its connection, not others theirs.
+    /// Queues bytes. A client that does not read what it is owed loses its connection, not others theirs. One
+    /// with little unread gets its answer whatever others hold: requests may fill the bytes held, and the body is
+    /// in memory already.
     pub fn send(&self, bytes: Vec<u8>) {
         let len = bytes.len();
+        let waiting = self.waiting.load(Ordering::Relaxed);
         let held = self.budget.take(len);
-        if held.is_none() || self.waiting.load(Ordering::Relaxed) + len > self.most {
-            note!("client: closed, {} bytes of answers wait unread", self.waiting.load(Ordering::Relaxed));
+        if held.is_none() && waiting > self.little || waiting + len > self.most.max(len) {
+            note!("client: closed, {waiting} bytes of answers wait unread");
             return self.close();
         }
         self.waiting.fetch_add(len, Ordering::Relaxed);
--- a/wrenseam/tests/clients.rs
+++ b/wrenseam/tests/clients.rs
@@ -7,7 +7,7 @@
 use std::sync::mpsc::Receiver;
 use std::sync::Arc;
 use std::time::Instant;
-use wrenseam::core::{Answer, Client, Message};
+use wrenseam::core::{Answer, Client, Message, Payload};
 
 /// The next request that reaches the core: its body, whom it is owed to and the tag.
 fn taken(queue: &Receiver<Message>) -> (Vec<u8>, Arc<dyn Client>, u64) {
@@ -91,3 +91,26 @@
         std::thread::yield_now();
     }
 }
+
+/// Others' requests fill the bytes held: what a client that reads is owed is still written to it.
+#[test]
+fn an_answer_comes_through_while_requests_fill_the_bytes_held() {
+    let (doors, queue) = doors(|limits| limits.held_bytes = 9_000);
+    let address = fastcgi_front(&doors);
+    let (mut client, mut other) = (connect(address), connect(address));
+    client.write_all(&call(1, "00000000000000a1", "9000", "x")).expect("written");
+    client.write_all(&call(2, "00000000000000a2", "9000", "y")).expect("written");
+    let ((_, owed, tag), (_, _, next)) = (taken(&queue), taken(&queue));
+    let whole = call(1, "00000000000000a3", "9000", &"z".repeat(7_900));
+    other.write_all(&whole[..whole.len() - 8]).expect("written"); // all but the record that ends it
+    let until = Instant::now() + PATIENCE;
+    while doors.budget.used() < 8_000 {
+        assert!(Instant::now() < until, "the body is not read");
+        std::thread::yield_now();
+    }
+    for tag in [tag, next] {
+        owed.answer(tag, Answer::Served(Payload::Bytes(vec![b'a'; 2_000])));
+        let (head, body, _) = fastcgi_answer(&mut client).expect("an answer");
+        assert!(head.starts_with("Status: 200") && body.len() == 2_000, "{head}");
+    }
+}
