--- a/wrenseam/src/front/fastcgi.rs
+++ b/wrenseam/src/front/fastcgi.rs
@@ -2,7 +2,7 @@
 use super::{function, token_fits, Doors, Figures, Reading};
 use crate::core::{Answer, Client, Message, Payload, Request};
 use crate::limits::{Held, Limits};
-use crate::net::{timed_out, Occupant, Outbox, Seat, Socket};
+use crate::net::{timed_out, Occupant, Outbox, Permit, Socket};
 use crate::ring::Ring;
 use may::sync::Mutex;
 use std::collections::HashMap;
@@ -154,20 +154,20 @@
 }
 
 /// Serves one connection until it ends.
-pub fn serve(stream: Socket, doors: &Doors, seat: Seat) {
+pub fn serve(stream: Socket, doors: &Doors, permit: Permit) {
     let peer = stream.peer_addr().map_or("?".to_owned(), |p| p.to_string());
-    let seat = Arc::new(seat);
-    let out = match doors.outbox(stream.clone(), seat.clone()) {
+    let permit = Arc::new(permit);
+    let out = match doors.outbox(stream.clone(), permit.clone()) {
         Ok(out) => out,
         Err(e) => return note!("fastcgi {peer}: closed: {e}"),
     };
-    seat.occupant.writes_to(&out);
-    let side = Arc::new(Side { occupant: seat.occupant.clone(), out, live: Mutex::default() });
+    permit.occupant.writes_to(&out);
+    let side = Arc::new(Side { occupant: permit.occupant.clone(), out, live: Mutex::default() });
     let mut reader = Reader { doors, side: side.clone(), partial: HashMap::new(), uses: 0, stray: 0 };
     if let Err(why) = reader.run(stream) {
         note!("fastcgi {peer}: connection closed: {why}");
     }
-    let _ = doors.core.send(Message::Hangup(seat.occupant.number)); // the core only ends with the program
+    let _ = doors.core.send(Message::Hangup(permit.occupant.number)); // the core only ends with the program
     side.out.close();
 }
 
--- a/wrenseam/src/front/kserve.rs
+++ b/wrenseam/src/front/kserve.rs
@@ -3,7 +3,7 @@
 use crate::core::{Answer, Client, Message, Payload, Request};
 use crate::http::{response, Head};
 use crate::limits::Limits;
-use crate::net::{timed_out, Occupant, Outbox, Seat, Socket};
+use crate::net::{timed_out, Occupant, Outbox, Permit, Socket};
 use crate::ring::Ring;
 use crate::worker::kserve::wrap_answer;
 use bramblepath::json::{flag, number, object, parse, part, text};
@@ -85,31 +85,31 @@
 }
 
 /// Serves one v2 client connection until it ends.
-pub fn serve(stream: Socket, doors: &Doors, seat: Seat) {
-    connection(stream, doors, seat, "kserve", |reader, tag, head, body| reader.kserve(tag, head, body));
+pub fn serve(stream: Socket, doors: &Doors, permit: Permit) {
+    connection(stream, doors, permit, "kserve", |reader, tag, head, body| reader.kserve(tag, head, body));
 }
 
 /// Serves one connection of the read-only administration API.
-pub fn serve_admin(stream: Socket, doors: &Doors, seat: Seat) {
-    connection(stream, doors, seat, "admin", |reader, tag, head, body| reader.admin(tag, head, body));
+pub fn serve_admin(stream: Socket, doors: &Doors, permit: Permit) {
+    connection(stream, doors, permit, "admin", |reader, tag, head, body| reader.admin(tag, head, body));
 }
 
 type Handle = fn(&Reader<'_>, u64, &Head, Vec<u8>) -> Reply;
 
-fn connection(stream: Socket, doors: &Doors, seat: Seat, front: &'static str, handle: Handle) {
+fn connection(stream: Socket, doors: &Doors, permit: Permit, front: &'static str, handle: Handle) {
     let peer = stream.peer_addr().map_or("?".to_owned(), |p| p.to_string());
-    let seat = Arc::new(seat);
-    let out = match doors.outbox(stream.clone(), seat.clone()) {
+    let permit = Arc::new(permit);
+    let out = match doors.outbox(stream.clone(), permit.clone()) {
         Ok(out) => out,
         Err(e) => return note!("{front} {peer}: closed: {e}"),
     };
-    seat.occupant.writes_to(&out);
-    let side = Arc::new(Side { occupant: seat.occupant.clone(), out, slots: Mutex::default() });
+    permit.occupant.writes_to(&out);
+    let side = Arc::new(Side { occupant: permit.occupant.clone(), out, slots: Mutex::default() });
     let reader = Reader { doors, side: side.clone(), handle };
     if let Err(why) = reader.run(stream) {
         note!("{front} {peer}: connection closed: {why}");
     }
-    let _ = doors.core.send(Message::Hangup(seat.occupant.number)); // the core only ends with the program
+    let _ = doors.core.send(Message::Hangup(permit.occupant.number)); // the core only ends with the program
     side.out.close();
 }
 
--- a/wrenseam/src/front/mod.rs
+++ b/wrenseam/src/front/mod.rs
@@ -4,7 +4,7 @@
 
 use crate::core::{Message, Shared};
 use crate::limits::{Budget, Limits};
-use crate::net::{spawn, Outbox, Seat, Seats, Socket};
+use crate::net::{spawn, Outbox, Permit, Permits, Socket};
 use may::net::TcpListener;
 use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
 use std::os::fd::AsFd;
@@ -13,7 +13,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-const SEAT_TRIES: usize = 20;
+const PERMIT_TRIES: usize = 20;
 
 /// What every front needs.
 #[derive(Clone)]
@@ -25,7 +25,7 @@
     /// Bytes held over all requests.
     pub budget: Budget,
     /// Client connections over all fronts.
-    pub seats: Seats,
+    pub permits: Permits,
     /// Bytes of answers not yet written.
     pub unsent: Arc<AtomicUsize>,
     /// Requests of which a part has been read.
@@ -38,8 +38,8 @@
 
 impl Doors {
     /// Starts the writer of a client connection.
-    pub fn outbox(&self, stream: Socket, seat: Arc<Seat>) -> std::io::Result<Outbox> {
-        Outbox::start(stream, seat, &self.limits, &self.budget, &self.unsent)
+    pub fn outbox(&self, stream: Socket, permit: Arc<Permit>) -> std::io::Result<Outbox> {
+        Outbox::start(stream, permit, &self.limits, &self.budget, &self.unsent)
     }
 }
 
@@ -67,7 +67,7 @@
 }
 
 /// Accepts connections until the listeners close, each served by a coroutine of its own.
-pub fn accept(door: &Door, doors: &Doors, front: &'static str, serve: fn(Socket, &Doors, Seat)) {
+pub fn accept(door: &Door, doors: &Doors, front: &'static str, serve: fn(Socket, &Doors, Permit)) {
     loop {
         door.waits.store(true, Ordering::Release);
         let accepted = door.listener.accept();
@@ -75,13 +75,14 @@
         match accepted {
             Ok((stream, peer)) => {
                 // Guards the descriptors that workers and the board need.
-                let Some(seat) = seat(doors) else {
+                let Some(permit) = permit(doors) else {
                     note!("{front}: connection of {peer} closed, all client connections are taken");
                     continue;
                 };
                 let inside = doors.clone();
                 let _ = stream.set_nodelay(true); // a connection without it is only slower
-                if let Err(e) = spawn(doors.limits.stack, move || serve(Socket::new(stream), &inside, seat)) {
+                if let Err(e) = spawn(doors.limits.stack, move || serve(Socket::new(stream), &inside, permit))
+                {
                     note!("{front}: connection of {peer} closed: {e}");
                 }
                 // Lets the connection be read before the next is taken: many that come at once would else
@@ -107,17 +108,17 @@
     matches!(e.raw_os_error(), Some(PROCESS | MACHINE))
 }
 
-/// A seat, if need be one that others give up.
-fn seat(doors: &Doors) -> Option<Seat> {
-    let mut seat = doors.seats.take();
-    for _ in 0..SEAT_TRIES {
-        if seat.is_some() || !doors.seats.clear() {
+/// A permit, if need be one that others give up.
+fn permit(doors: &Doors) -> Option<Permit> {
+    let mut permit = doors.permits.take();
+    for _ in 0..PERMIT_TRIES {
+        if permit.is_some() || !doors.permits.clear() {
             break;
         }
         may::coroutine::sleep(Duration::from_millis(1)); // those that were told to close do so meanwhile
-        seat = doors.seats.take();
+        permit = doors.permits.take();
     }
-    seat
+    permit
 }
 
 /// Counts a request from its first byte until the core has it, so that a planned end waits for it.
--- a/wrenseam/src/lib.rs
+++ b/wrenseam/src/lib.rs
@@ -38,7 +38,7 @@
         core: queue.clone(),
         limits: limits.clone(),
         budget: Budget::new(limits.held_bytes),
-        seats: net::Seats::new(limits.client_connections),
+        permits: net::Permits::new(limits.client_connections),
         unsent: Arc::default(),
         shared: shared.clone(),
         reading: Arc::default(),
@@ -105,7 +105,7 @@
 }
 
 fn listen(
-    address: SocketAddr, doors: &Doors, name: &'static str, serve: fn(net::Socket, &Doors, net::Seat),
+    address: SocketAddr, doors: &Doors, name: &'static str, serve: fn(net::Socket, &Doors, net::Permit),
 ) -> Result<Door, String> {
     let listener = TcpListener::bind(address).map_err(|e| format!("{address}: {e}"))?;
     let (door, doors) = (Door::new(listener), doors.clone());
--- a/wrenseam/src/net.rs
+++ b/wrenseam/src/net.rs
@@ -110,10 +110,10 @@
 }
 
 impl Outbox {
-    /// Starts the writer of a connection, which keeps the seat until the last byte is written or given up: the
+    /// Starts the writer of a connection, which keeps the permit until the last byte is written or given up: the
     /// descriptor is taken as long. `unsent` counts bytes over all connections.
     pub fn start(
-        stream: Socket, seat: Arc<Seat>, limits: &Arc<Limits>, budget: &Budget, unsent: &Arc<AtomicUsize>,
+        stream: Socket, permit: Arc<Permit>, limits: &Arc<Limits>, budget: &Budget, unsent: &Arc<AtomicUsize>,
     ) -> io::Result<Outbox> {
         let (chunks, queue) = channel();
         let waiting = Arc::new(AtomicUsize::new(0));
@@ -123,7 +123,7 @@
         let (limits, waiting, unsent) = (limits.clone(), out.waiting.clone(), out.unsent.clone());
         spawn(stack, move || {
             write_out(stream, &queue, &limits, &waiting, &unsent);
-            drop(seat);
+            drop(permit);
         })?;
         Ok(out)
     }
@@ -184,7 +184,7 @@
 
 /// The client connections over all fronts, against their limit.
 #[derive(Clone)]
-pub struct Seats {
+pub struct Permits {
     taken: Arc<Mutex<BTreeMap<u64, Arc<Occupant>>>>,
     most: usize,
 }
@@ -202,7 +202,7 @@
     part: bool,
 }
 
-/// One client connection, as the seats know it.
+/// One client connection, as the permits know it.
 pub struct Occupant {
     /// The connection's number, unique in the program.
     pub number: u64,
@@ -260,14 +260,14 @@
     }
 }
 
-impl Seats {
+impl Permits {
     /// So many connections.
     pub fn new(most: usize) -> Self {
-        Seats { taken: Arc::default(), most }
+        Permits { taken: Arc::default(), most }
     }
 
-    /// A seat, or nothing if all are taken.
-    pub fn take(&self) -> Option<Seat> {
+    /// A permit, or nothing if all are taken.
+    pub fn take(&self) -> Option<Permit> {
         let mut taken = self.taken.lock().ok()?;
         if taken.len() >= self.most {
             return None;
@@ -275,7 +275,7 @@
         let state = Mutex::new((Use { open: 0, since: Instant::now(), proven: false, part: false }, None));
         let occupant = Arc::new(Occupant { number: connection_number(), state });
         taken.insert(occupant.number, occupant.clone());
-        Some(Seat { seats: self.clone(), occupant })
+        Some(Permit { permits: self.clone(), occupant })
     }
 
     /// Closes a part of the connections on which nothing is owed: first those that never asked for anything of
@@ -303,15 +303,15 @@
 }
 
 /// One client connection's place; given back when dropped.
-pub struct Seat {
-    seats: Seats,
+pub struct Permit {
+    permits: Permits,
     /// Who has it.
     pub occupant: Arc<Occupant>,
 }
 
-impl Drop for Seat {
+impl Drop for Permit {
     fn drop(&mut self) {
-        if let Ok(mut taken) = self.seats.taken.lock() {
+        if let Ok(mut taken) = self.permits.taken.lock() {
             taken.remove(&self.occupant.number);
         }
     }
--- a/wrenseam/tests/clients.rs
+++ b/wrenseam/tests/clients.rs
@@ -46,9 +46,9 @@
     assert_eq!(taken(&queue).0, b"anew");
 }
 
-/// All seats are taken and another client connects: one that is sending its next request keeps its connection.
+/// All permits are taken and another client connects: one that is sending its next request keeps its connection.
 #[test]
-fn a_usual_client_keeps_its_seat_while_it_sends() {
+fn a_usual_client_keeps_its_permit_while_it_sends() {
     let (doors, queue) = doors(|limits| limits.client_connections = 1);
     let address = fastcgi_front(&doors);
     let mut client = connect(address);
@@ -65,14 +65,14 @@
         std::thread::yield_now();
     }
     let mut other = connect(address);
-    assert_eq!(other.read(&mut [0]).unwrap_or(0), 0, "there is no seat for it");
+    assert_eq!(other.read(&mut [0]).unwrap_or(0), 0, "there is no permit for it");
     client.write_all(rest).expect("written");
     assert_eq!(taken(&queue).0, b"next");
 }
 
-/// A client leaves without reading what it asked for: while that is still being written, its seat is not given away.
+/// A client leaves without reading what it asked for: while that is still being written, its permit is not given away.
 #[test]
-fn a_seat_is_taken_until_its_connection_is_closed() {
+fn a_permit_is_taken_until_its_connection_is_closed() {
     let (doors, queue) = doors(|limits| limits.client_connections = 1);
     let mut client = connect(fastcgi_front(&doors));
     let question = fastcgi(1, &[("SCRIPT_NAME", "/healthz")], b"").repeat(500);
@@ -83,11 +83,11 @@
     client.shutdown(std::net::Shutdown::Write).expect("open");
     while !matches!(queue.recv_timeout(PATIENCE).expect("it has left"), Message::Hangup(_)) {}
     assert!(doors.unsent.load(Ordering::Acquire) > 0, "still being written");
-    assert!(doors.seats.take().is_none(), "two connections on one seat");
+    assert!(doors.permits.take().is_none(), "two connections on one permit");
     client.read_to_end(&mut Vec::new()).expect("the rest");
     let until = Instant::now() + PATIENCE;
-    while doors.seats.take().is_none() {
-        assert!(Instant::now() < until, "the seat is not given back");
+    while doors.permits.take().is_none() {
+        assert!(Instant::now() < until, "the permit is not given back");
         std::thread::yield_now();
     }
 }
--- a/wrenseam/tests/common/mod.rs
+++ b/wrenseam/tests/common/mod.rs
@@ -36,7 +36,7 @@
 use wrenseam::core::Message;
 use wrenseam::front::{accept, Door, Doors};
 use wrenseam::limits::{Budget, Limits};
-use wrenseam::net::Seats;
+use wrenseam::net::Permits;
 
 pub const FUNCTION: &str = "7f3a9c21e0b4d655";
 pub const PATIENCE: Duration = Duration::from_secs(10);
@@ -658,7 +658,7 @@
     let doors = Doors {
         core,
         budget: Budget::new(limits.held_bytes),
-        seats: Seats::new(limits.client_connections),
+        permits: Permits::new(limits.client_connections),
         limits,
         unsent: Arc::default(),
         shared: Arc::default(),
--- a/wrenseam/tests/descriptors.rs
+++ b/wrenseam/tests/descriptors.rs
@@ -41,7 +41,7 @@
     assert!(stage.descriptors() <= before + 30, "{} after {before}", stage.descriptors());
 }
 
-/// 120 workers, clients that say nothing at every seat, and a board that breaks off: within 256 descriptors
+/// 120 workers, clients that say nothing at every permit, and a board that breaks off: within 256 descriptors
 /// the usual clients are served by all workers and the list is followed.
 #[test]
 fn silent_clients_leave_descriptors_for_all_workers_and_the_board() {
--- a/wrenseam/tests/ending.rs
+++ b/wrenseam/tests/ending.rs
@@ -10,12 +10,12 @@
 use std::time::{Duration, Instant};
 use wrenseam::core::Message;
 use wrenseam::front::{accept, Door, Doors};
-use wrenseam::net::{spawn, Seat, Socket};
+use wrenseam::net::{spawn, Permit, Socket};
 
 static GATE: Mutex<Option<(Sender<()>, Receiver<()>)>> = Mutex::new(None);
 
 /// Holds the scheduler's one thread at the gate, then says one byte.
-fn say_one(mut stream: Socket, _: &Doors, _seat: Seat) {
+fn say_one(mut stream: Socket, _: &Doors, _seat: Permit) {
     if let Some((here, open)) = GATE.lock().expect("sound").take() {
         here.send(()).expect("awaited");
         open.recv().expect("opened");
