--- a/benchlink/src/main.rs
+++ b/adapter/src/main.rs
@@ -1,9 +1,9 @@
-//! Runs bramblepath on the simulator's wire: reads batches on standard input, writes replies on standard
+//! Runs heronslip-policy on the simulator's wire: reads batches on standard input, writes replies on standard
 //! output. It translates and decides nothing.
 #![forbid(unsafe_code)]
 
-use bramblepath::json::{flag, number, object, part, position, span, text as word, whole as figure};
-use bramblepath::*;
+use heronslip_policy::json::{flag, number, object, part, position, span, text as word, whole as figure};
+use heronslip_policy::*;
 use miniserde::json::{self, Number, Object, Value};
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, Write};
@@ -22,7 +22,7 @@
     match run() {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            eprintln!("bramblepath-benchlink: {message}");
+            eprintln!("heronslip-adapter: {message}");
             ExitCode::FAILURE
         }
     }
@@ -78,7 +78,7 @@
 }
 
 fn message(line: &str) -> Res<(String, Fields)> {
-    let Value::Object(outer) = bramblepath::json::parse(line)? else {
+    let Value::Object(outer) = heronslip_policy::json::parse(line)? else {
         return Err("not an object".into());
     };
     if outer.len() != 1 {
--- a/benchlink/tests/wire.rs
+++ b/adapter/tests/wire.rs
@@ -3,7 +3,7 @@
 use std::process::{Command, Output, Stdio};
 
 fn talk(input: &str) -> Output {
-    let mut child = Command::new(env!("CARGO_BIN_EXE_bramblepath-benchlink"))
+    let mut child = Command::new(env!("CARGO_BIN_EXE_heronslip-adapter"))
         .stdin(Stdio::piped())
         .stdout(Stdio::piped())
         .stderr(Stdio::piped())
--- a/wrenseam/src/config.rs
+++ b/heronslip/src/config.rs
@@ -1,7 +1,7 @@
 //! What a front end is told at its start: environment, NODE_CONFIG and the file of the KServe v2 front.
 use crate::limits::Limits;
-use bramblepath::json::{as_text, list, number, object, parse, part, text};
-use bramblepath::Settings;
+use heronslip_policy::json::{as_text, list, number, object, parse, part, text};
+use heronslip_policy::Settings;
 use miniserde::json::{Object, Value};
 use std::net::SocketAddr;
 
@@ -52,13 +52,13 @@
 }
 
 impl Config {
-    /// Reads the variables NODE_CONFIG, NODE_NAME, NODE_LISTEN and WRENSEAM_KSERVE.
+    /// Reads the variables NODE_CONFIG, NODE_NAME, NODE_LISTEN and HERONSLIP_KSERVE.
     pub fn from_environment() -> Read<Config> {
         let variable = |name: &str| std::env::var(name).ok().filter(|v| !v.is_empty());
         let path = variable("NODE_CONFIG").ok_or("NODE_CONFIG names no file")?;
         let mut config = Config::read(&file(&path)?, variable("NODE_LISTEN"), variable("NODE_NAME"))?;
         // Off on the platform: only an environment that names the file turns the v2 front on.
-        if let Some(path) = variable("WRENSEAM_KSERVE") {
+        if let Some(path) = variable("HERONSLIP_KSERVE") {
             config.kserve = Some(Kserve::read(&path)?);
         }
         Ok(config)
--- a/wrenseam/src/core/clock.rs
+++ b/heronslip/src/core/clock.rs
@@ -1,5 +1,5 @@
 //! The module's clock: Unix microseconds at the start, then monotonic time.
-use bramblepath::Micros;
+use heronslip_policy::Micros;
 use std::time::{Instant, SystemTime, UNIX_EPOCH};
 
 /// A clock that shares the epoch of the list's start times and never goes back.
--- a/wrenseam/src/core/mod.rs
+++ b/heronslip/src/core/mod.rs
@@ -9,7 +9,7 @@
 
 use crate::limits::Limits;
 use crate::worker::{transport, Reports, Transport};
-use bramblepath::{Action, Controller, Effect, Entry, Event, Micros, Outcome, Settings, WorkerState};
+use heronslip_policy::{Action, Controller, Effect, Entry, Event, Micros, Outcome, Settings, WorkerState};
 use miniserde::json::{self, Number, Object, Value};
 use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
@@ -513,7 +513,7 @@
         members.splice(0..0, gone);
         let mut entries = Vec::new();
         for member in members {
-            let place = |names: &[String], name: &str| bramblepath::json::position(names, Some(name));
+            let place = |names: &[String], name: &str| heronslip_policy::json::position(names, Some(name));
             entries.push(Entry {
                 worker: member.id.clone(),
                 state: member.state,
--- a/wrenseam/src/core/timers.rs
+++ b/heronslip/src/core/timers.rs
@@ -1,6 +1,6 @@
 //! One heap of timers; none can be taken back, what is no longer needed is ignored when it is due.
 use super::AttemptKey;
-use bramblepath::Micros;
+use heronslip_policy::Micros;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::time::Duration;
--- a/wrenseam/src/core/types.rs
+++ b/heronslip/src/core/types.rs
@@ -1,7 +1,7 @@
 //! The neutral words between fronts, core and transports. No wire shows here.
 use crate::front::Reading;
 use crate::limits::Held;
-use bramblepath::{FunctionId, Micros, Outcome, WorkerState};
+use heronslip_policy::{FunctionId, Micros, Outcome, WorkerState};
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Instant;
--- a/wrenseam/src/front/kserve.rs
+++ b/heronslip/src/front/kserve.rs
@@ -6,7 +6,7 @@
 use crate::net::{timed_out, Occupant, Outbox, Permit, Socket};
 use crate::ring::Ring;
 use crate::worker::kserve::wrap_answer;
-use bramblepath::json::{flag, number, object, parse, part, text};
+use heronslip_policy::json::{flag, number, object, parse, part, text};
 use may::sync::Mutex;
 use miniserde::json::{self, Object, Value};
 use std::collections::VecDeque;
@@ -262,7 +262,7 @@
             ("GET", ["v2", "health", "ready"]) => state("ready", self.ready()),
             ("GET", ["v2"]) => {
                 let text = concat!(
-                    r#"{"name":"wrenseam","version":""#,
+                    r#"{"name":"heronslip","version":""#,
                     env!("CARGO_PKG_VERSION"),
                     r#"","extensions":[]}"#
                 );
@@ -279,7 +279,7 @@
             ("GET", ["v2", "models", name]) => {
                 let tensor = r#"[{"name":"body","datatype":"BYTES","shape":[1]}]"#;
                 let text = format!(
-                    "{{\"name\":\"{name}\",\"versions\":[\"1\"],\"platform\":\"wrenseam\",\"inputs\":{tensor},\"outputs\":{tensor}}}"
+                    "{{\"name\":\"{name}\",\"versions\":[\"1\"],\"platform\":\"heronslip\",\"inputs\":{tensor},\"outputs\":{tensor}}}"
                 );
                 Reply::Now("200 OK", text.into_bytes())
             }
--- a/wrenseam/src/lib.rs
+++ b/heronslip/src/lib.rs
@@ -69,7 +69,7 @@
         }
     }
     // What could not be read is asked for again: the board tells all it knows to whoever knows nothing.
-    let last = bramblepath::json::whole(&config.known, "rev").filter(|_| sound).unwrap_or(0);
+    let last = heronslip_policy::json::whole(&config.known, "rev").filter(|_| sound).unwrap_or(0);
     let board = Arc::new(roster::Board::new(config.board));
     let (own, within, core) = (board.clone(), limits.clone(), queue.clone());
     net::spawn(limits.stack, move || roster::follow(&own, last, &within, &core))
--- a/wrenseam/src/limits.rs
+++ b/heronslip/src/limits.rs
@@ -1,5 +1,5 @@
 //! All sizes, counts and times of the program, filled once at the start and handed down.
-use bramblepath::{Micros, Settings};
+use heronslip_policy::{Micros, Settings};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Duration;
--- a/wrenseam/src/main.rs
+++ b/heronslip/src/main.rs
@@ -5,11 +5,11 @@
 
 fn main() -> ExitCode {
     // The signals come first: one that arrives while the configuration is read must not end the program.
-    let run = |signals| wrenseam::run(wrenseam::config::Config::from_environment()?, signals);
-    match wrenseam::shutdown::signals().and_then(run) {
+    let run = |signals| heronslip::run(heronslip::config::Config::from_environment()?, signals);
+    match heronslip::shutdown::signals().and_then(run) {
         Ok(()) => ExitCode::SUCCESS,
         Err(message) => {
-            wrenseam::log!("start: {message}");
+            heronslip::log!("start: {message}");
             ExitCode::FAILURE
         }
     }
--- a/wrenseam/src/roster.rs
+++ b/heronslip/src/roster.rs
@@ -4,8 +4,8 @@
 use crate::limits::Limits;
 use crate::net::timed_out;
 use crate::ring::Ring;
-use bramblepath::json::{flag, list, object, parse, part, span, text, whole};
-use bramblepath::WorkerState;
+use heronslip_policy::json::{flag, list, object, parse, part, span, text, whole};
+use heronslip_policy::WorkerState;
 use may::net::TcpStream;
 use may::sync::Mutex;
 use miniserde::json::{Object, Value};
@@ -67,7 +67,7 @@
 }
 
 /// Members of an xDS discovery response (or a single resource) of `ClusterLoadAssignment`s. What this
-/// project needs beyond xDS stands in each endpoint's `metadata.filter_metadata["wrenseam"]`.
+/// project needs beyond xDS stands in each endpoint's `metadata.filter_metadata["heronslip"]`.
 pub fn endpoints(response: &Object) -> Result<Vec<Member>, String> {
     let single = [Value::Object(response.clone())];
     let resources = if response.contains_key("resources") { list(response, "resources") } else { &single };
@@ -85,7 +85,7 @@
                 let port = whole(socket, "port_value").ok_or("a socket_address without port_value")?;
                 let address = format!("{host}:{port}");
                 let own = part(lb, "metadata").and_then(|m| part(m, "filter_metadata"));
-                let own = own.and_then(|m| part(m, "wrenseam")).unwrap_or(&empty);
+                let own = own.and_then(|m| part(m, "heronslip")).unwrap_or(&empty);
                 members.push(Member {
                     id: text(own, "id").unwrap_or(&address).to_owned(),
                     address: address.parse().map_err(|_| format!("not an address: {address}"))?,
--- a/wrenseam/src/worker/frames.rs
+++ b/heronslip/src/worker/frames.rs
@@ -4,7 +4,7 @@
 use crate::limits::Limits;
 use crate::net::{connection_number, spawn, timed_out, Socket};
 use crate::ring::Ring;
-use bramblepath::{FunctionId, Micros, Outcome};
+use heronslip_policy::{FunctionId, Micros, Outcome};
 use may::net::TcpStream;
 use may::sync::mpsc::{channel, Receiver, Sender};
 use may::sync::Mutex;
--- a/wrenseam/src/worker/kserve.rs
+++ b/heronslip/src/worker/kserve.rs
@@ -7,8 +7,8 @@
 use crate::net::{spawn, timed_out};
 use crate::ring::Ring;
 use base64::{engine::general_purpose::STANDARD, Engine};
-use bramblepath::json::{as_text, list, object, parse, part, text, whole};
-use bramblepath::{FunctionId, Micros, Outcome};
+use heronslip_policy::json::{as_text, list, object, parse, part, text, whole};
+use heronslip_policy::{FunctionId, Micros, Outcome};
 use may::net::TcpStream;
 use may::sync::mpmc::{channel, Receiver, Sender};
 use miniserde::json::{self, Array, Number, Object, Value};
@@ -438,7 +438,7 @@
         Some("booted" | "rode") => Some(false),
         _ => None,
     };
-    let crowd = told.and_then(|t| bramblepath::json::whole(t, "company")).map(|n| n.min(1 << 16) as u32);
+    let crowd = told.and_then(|t| heronslip_policy::json::whole(t, "company")).map(|n| n.min(1 << 16) as u32);
     let mut outcome = outcome(reply.status);
     let payload = match outcome {
         Outcome::Ok if foreign => answer.and_then(unwrap_answer).map(Payload::Bytes),
--- a/wrenseam/src/worker/mod.rs
+++ b/heronslip/src/worker/mod.rs
@@ -4,7 +4,7 @@
 
 use crate::core::{AttemptKey, Message, Report, Request, Speech};
 use crate::limits::Limits;
-use bramblepath::{FunctionId, Micros, Outcome};
+use heronslip_policy::{FunctionId, Micros, Outcome};
 use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
 use std::sync::Arc;
--- a/wrenseam/tests/clients.rs
+++ b/heronslip/tests/clients.rs
@@ -2,12 +2,12 @@
 mod common;
 
 use common::{call, connect, doors, fastcgi, fastcgi_answer, fastcgi_front, PATIENCE};
+use heronslip::core::{Answer, Client, Message, Payload};
 use std::io::{Read, Write};
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::Receiver;
 use std::sync::Arc;
 use std::time::Instant;
-use wrenseam::core::{Answer, Client, Message, Payload};
 
 /// The next request that reaches the core: its body, whom it is owed to and the tag.
 fn taken(queue: &Receiver<Message>) -> (Vec<u8>, Arc<dyn Client>, u64) {
--- a/wrenseam/tests/codecs.rs
+++ b/heronslip/tests/codecs.rs
@@ -1,12 +1,12 @@
 //! Readers of the wires, fed by hand.
-use bramblepath::json::{object, parse};
-use bramblepath::WorkerState;
+use heronslip::core::Speech;
+use heronslip::http::{Chunked, Coded, Head};
+use heronslip::ring::Ring;
+use heronslip::roster::{endpoints, notice, Events, Notice};
+use heronslip::worker::frames::Decoder;
+use heronslip_policy::json::{object, parse};
+use heronslip_policy::WorkerState;
 use rstest::rstest;
-use wrenseam::core::Speech;
-use wrenseam::http::{Chunked, Coded, Head};
-use wrenseam::ring::Ring;
-use wrenseam::roster::{endpoints, notice, Events, Notice};
-use wrenseam::worker::frames::Decoder;
 
 fn answer(code: u8, body: &[u8]) -> Vec<u8> {
     let mut frame = vec![127, code, 0, 0, 0, 0, 0, body.len() as u8, 0, 0, 0, 0, 0, 0, 0, 9];
@@ -55,7 +55,7 @@
 /// What others can cause at full speed is written a few times a second, then counted.
 #[test]
 fn repeated_lines_are_counted() {
-    let line = wrenseam::log::Line::new();
+    let line = heronslip::log::Line::new();
     let written = (0..1_000).filter_map(|_| line.admit(7, format_args!("x"))).count();
     assert_eq!(written, 5);
     assert_eq!(line.admit(8, format_args!("x")), Some("x (995 more such lines were left out)".to_owned()));
@@ -107,7 +107,7 @@
     let text = format!(
         r#"{{"resources":[{{"cluster_name":"tiles","endpoints":[{{"locality":{{"zone":"east"}},"lb_endpoints":[
         {{{health}"endpoint":{{"address":{{"socket_address":{{"address":"127.0.0.1","port_value":9}}}}}},
-        "metadata":{{"filter_metadata":{{"wrenseam":{{"id":"w1","cell":3}}}}}}}}]}}]}}]}}"#
+        "metadata":{{"filter_metadata":{{"heronslip":{{"id":"w1","cell":3}}}}}}}}]}}]}}]}}"#
     );
     let json = parse(&text).expect("JSON");
     let members = endpoints(object(&json).expect("an object")).expect("sound");
--- a/wrenseam/tests/common/mod.rs
+++ b/heronslip/tests/common/mod.rs
@@ -22,7 +22,7 @@
 //!     wait MS
 #![allow(dead_code)]
 use base64::{engine::general_purpose::STANDARD, Engine};
-use bramblepath::json::{list, object, parse, part, text};
+use heronslip_policy::json::{list, object, parse, part, text};
 use std::cell::Cell;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -32,11 +32,11 @@
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::Arc;
 
+use heronslip::core::Message;
+use heronslip::front::{accept, Door, Doors};
+use heronslip::limits::{Budget, Limits};
+use heronslip::net::Permits;
 use std::time::{Duration, Instant};
-use wrenseam::core::Message;
-use wrenseam::front::{accept, Door, Doors};
-use wrenseam::limits::{Budget, Limits};
-use wrenseam::net::Permits;
 
 pub const FUNCTION: &str = "7f3a9c21e0b4d655";
 pub const PATIENCE: Duration = Duration::from_secs(10);
@@ -189,10 +189,10 @@
             .to_owned(),
         );
         let mut child = Command::new("sh")
-            .args(["-c", &format!("ulimit -n {sockets}; exec \"$0\""), env!("CARGO_BIN_EXE_wrenseam")])
+            .args(["-c", &format!("ulimit -n {sockets}; exec \"$0\""), env!("CARGO_BIN_EXE_heronslip")])
             .env("NODE_CONFIG", &config)
             .env("NODE_LISTEN", "127.0.0.1:0")
-            .env("WRENSEAM_KSERVE", kserve)
+            .env("HERONSLIP_KSERVE", kserve)
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts");
@@ -428,7 +428,8 @@
     let tensors =
         if fields.contains_key("inputs") { list(fields, "inputs") } else { list(fields, "outputs") };
     let Some(tensor) = tensors.first().and_then(object) else { return plain };
-    let data = list(tensor, "data").first().and_then(bramblepath::json::as_text).expect("data").to_owned();
+    let data =
+        list(tensor, "data").first().and_then(heronslip_policy::json::as_text).expect("data").to_owned();
     let coded = part(tensor, "parameters").and_then(|p| text(p, "content_type")) == Some("base64");
     if coded {
         String::from_utf8(STANDARD.decode(data).expect("base64")).expect("text")
@@ -650,9 +651,9 @@
 
 /// What fronts need, with the core's end of the queue.
 pub fn doors(change: impl FnOnce(&mut Limits)) -> (Doors, Receiver<Message>) {
-    let mut limits = Limits::new(192, 256, &bramblepath::Settings::default());
+    let mut limits = Limits::new(192, 256, &heronslip_policy::Settings::default());
     change(&mut limits);
-    wrenseam::net::schedule(&limits);
+    heronslip::net::schedule(&limits);
     let (core, queue) = channel();
     let limits = Arc::new(limits);
     let doors = Doors {
@@ -672,8 +673,8 @@
 pub fn fastcgi_front(doors: &Doors) -> SocketAddr {
     let door = Door::new(may::net::TcpListener::bind("127.0.0.1:0").expect("a port"));
     let (address, doors) = (door.listener.local_addr().expect("bound"), doors.clone());
-    let run = move || accept(&door, &doors, "test", wrenseam::front::fastcgi::serve);
-    wrenseam::net::spawn(64 * 1024, run).expect("a coroutine");
+    let run = move || accept(&door, &doors, "test", heronslip::front::fastcgi::serve);
+    heronslip::net::spawn(64 * 1024, run).expect("a coroutine");
     address
 }
 
--- a/wrenseam/tests/ending.rs
+++ b/heronslip/tests/ending.rs
@@ -2,15 +2,15 @@
 mod common;
 
 use common::{connect, doors, fastcgi, fastcgi_front, PATIENCE};
+use heronslip::core::Message;
+use heronslip::front::{accept, Door, Doors};
+use heronslip::net::{spawn, Permit, Socket};
 use may::net::TcpListener;
 use std::io::{Read, Write};
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
-use wrenseam::core::Message;
-use wrenseam::front::{accept, Door, Doors};
-use wrenseam::net::{spawn, Permit, Socket};
 
 static GATE: Mutex<Option<(Sender<()>, Receiver<()>)>> = Mutex::new(None);
 
@@ -39,7 +39,7 @@
     clients.extend((1..20).map(|_| connect(address)));
     let closing = std::thread::spawn({
         let (door, doors) = (door.clone(), doors.clone());
-        move || wrenseam::shutdown::close(&[door], &doors)
+        move || heronslip::shutdown::close(&[door], &doors)
     });
     // A listener that does not wait is shut within this; one that waits is held by the gate, however long.
     let until = Instant::now() + Duration::from_millis(300);
--- a/wrenseam/tests/leaving.rs
+++ b/heronslip/tests/leaving.rs
@@ -2,14 +2,14 @@
 mod common;
 
 use common::{call, connect, fastcgi_answer, frame, Hand, Plan, Received, Stage, PATIENCE};
+use heronslip::core::{AttemptKey, Payload, Request};
+use heronslip::limits::Limits;
+use heronslip::worker::{frames::Frames, Reports, Transport};
 use std::collections::BTreeSet;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{mpsc, Arc};
 use std::time::{Duration, Instant};
-use wrenseam::core::{AttemptKey, Payload, Request};
-use wrenseam::limits::Limits;
-use wrenseam::worker::{frames::Frames, Reports, Transport};
 
 /// A call waits for its connection, is given up, and only then the connection comes up: nothing is written on it.
 #[test]
@@ -24,9 +24,9 @@
     while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) {
         fillers.push(stream);
     }
-    let mut limits = Limits::new(192, 1024, &bramblepath::Settings::default());
+    let mut limits = Limits::new(192, 1024, &heronslip_policy::Settings::default());
     limits.connect = Duration::from_secs(60);
-    wrenseam::net::schedule(&limits);
+    heronslip::net::schedule(&limits);
     let (queue, _reports) = mpsc::channel();
     let mut transport = Frames::new(address, Arc::new(limits), Reports(queue));
     let request = Request {
--- a/wrenseam/tests/limits.rs
+++ b/heronslip/tests/limits.rs
@@ -1,7 +1,7 @@
 //! Limits, and the budget of bytes.
-use bramblepath::Settings;
+use heronslip::limits::{Budget, Limits};
+use heronslip_policy::Settings;
 use std::time::Duration;
-use wrenseam::limits::{Budget, Limits};
 
 #[test]
 fn a_budget_refuses_what_it_lacks_and_takes_bytes_back() {
@@ -25,7 +25,7 @@
 /// A word of a quiet connection is priced like a probe: where that is dear, no usual call may cause one.
 #[test]
 fn words_that_cost_much_wait_until_calls_are_late() {
-    let class = |aim| bramblepath::ClassSettings { aim, ..Default::default() };
+    let class = |aim| heronslip_policy::ClassSettings { aim, ..Default::default() };
     let set = |probe_price| {
         let classes = vec![class(550_000), class(410_000)];
         Limits::new(192, 1024, &Settings { probe_price, classes, ..Settings::default() }).link_quiet
@@ -35,7 +35,7 @@
 }
 
 fn classes(give_up: &[u64]) -> Limits {
-    let class = |&give_up: &u64| bramblepath::ClassSettings { give_up, ..Default::default() };
+    let class = |&give_up: &u64| heronslip_policy::ClassSettings { give_up, ..Default::default() };
     let classes = give_up.iter().map(class).collect();
     Limits::new(192, 1024, &Settings { classes, ..Settings::default() })
 }
--- a/wrenseam/tests/program.rs
+++ b/heronslip/tests/program.rs
@@ -131,7 +131,7 @@
         ("/v2/health/ready", r#"{"ready":true}"#),
         ("/v2/models/7f3a9c21e0b4d655/ready", r#""ready":true"#),
         ("/v2/models/7f3a9c21e0b4d655/versions/1/ready", r#""ready":true"#),
-        ("/v2/models/7f3a9c21e0b4d655", r#""platform":"wrenseam""#),
+        ("/v2/models/7f3a9c21e0b4d655", r#""platform":"heronslip""#),
     ] {
         let answer = get(stage.kserve, path);
         assert!(answer.starts_with("HTTP/1.1 200") && answer.contains(told), "{path}: {answer}");
--- a/wrenseam/tests/ring.rs
+++ b/heronslip/tests/ring.rs
@@ -1,5 +1,5 @@
 //! The ring of bytes.
-use wrenseam::ring::Ring;
+use heronslip::ring::Ring;
 
 #[test]
 fn bytes_come_out_in_order_across_the_edge() {
--- a/wrenseam/tests/transport.rs
+++ b/heronslip/tests/transport.rs
@@ -1,18 +1,18 @@
 //! The transport of frames against sockets: what it writes, and when it lets connections go.
-use bramblepath::{Outcome, Settings};
+use heronslip::core::{AttemptKey, Message, Payload, Request};
+use heronslip::limits::Limits;
+use heronslip::worker::frames::{encode, Frames, Outgoing, Withheld};
+use heronslip::worker::{Reports, Transport};
+use heronslip_policy::{Outcome, Settings};
 use rstest::rstest;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::{mpsc, Arc};
 use std::time::{Duration, Instant};
-use wrenseam::core::{AttemptKey, Message, Payload, Request};
-use wrenseam::limits::Limits;
-use wrenseam::worker::frames::{encode, Frames, Outgoing, Withheld};
-use wrenseam::worker::{Reports, Transport};
 
 /// A transport to this address, on one scheduler thread as the program has it.
 fn frames(address: SocketAddr, limits: Limits, reports: mpsc::Sender<Message>) -> Frames {
-    wrenseam::net::schedule(&limits);
+    heronslip::net::schedule(&limits);
     Frames::new(address, Arc::new(limits), Reports(reports))
 }
 
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,11 +1,11 @@
-//! bramblepath decides, for one gateway, which worker runs a call of a function that is loaded on demand,
+//! heronslip-policy decides, for one gateway, which worker runs a call of a function that is loaded on demand,
 //! where copies are loaded and dropped, and what is retried, refused or failed.
 //!
 //! The gateway owns sockets and clock. It feeds [`Event`]s to a [`Controller`] and carries out the
 //! [`Action`]s that come back, in order.
 //!
 //! ```
-//! use bramblepath::*;
+//! use heronslip_policy::*;
 //!
 //! let settings = Settings {
 //!     gateways: 1,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,6 +1,6 @@
 //! What the tests share: settings of the two kinds of site and short ways to feed a controller.
 #![allow(dead_code)]
-use bramblepath::*;
+use heronslip_policy::*;
 
 pub const MS: Micros = 1_000;
 pub const SEC: Micros = 1_000_000;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -1,7 +1,7 @@
 //! What goes wrong around a gateway, and odd input.
 mod common;
-use bramblepath::*;
 use common::*;
+use heronslip_policy::*;
 
 #[test]
 fn a_dead_worker_leaves_the_choice_and_an_answered_question_brings_it_back() {
--- a/tests/mechanism.rs
+++ b/tests/mechanism.rs
@@ -1,7 +1,7 @@
 //! The ordinary path: beliefs, losses, copies and the random choice.
 mod common;
-use bramblepath::*;
 use common::*;
+use heronslip_policy::*;
 
 #[test]
 fn a_new_gateway_asks_before_it_loads() {
--- a/tests/properties.rs
+++ b/tests/properties.rs
@@ -1,7 +1,7 @@
 //! The five rules over seeded random event streams, judged by a checker that shares no code with the module.
 mod common;
-use bramblepath::*;
 use common::*;
+use heronslip_policy::*;
 use rand_pcg::rand_core::{RngCore, SeedableRng};
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet};
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -1,7 +1,7 @@
 //! The five rules, one by one.
 mod common;
-use bramblepath::*;
 use common::*;
+use heronslip_policy::*;
 
 #[test]
 fn rule_1_a_held_request_is_answered_before_the_client_leaves() {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -1,7 +1,7 @@
 //! A hundred gateways and more: each sees little, and what each does is multiplied.
 mod common;
-use bramblepath::*;
 use common::*;
+use heronslip_policy::*;
 
 fn many(gateways: u32) -> Settings {
     let tenant = |quota_per_s| TenantSettings { quota_per_s, ..TenantSettings::default() };
