--- a/src/lib.rs
+++ b/src/lib.rs
@@ -40,11 +40,13 @@
 #![warn(missing_docs)]
 
 mod control;
+mod footprint;
 mod interface;
 pub mod json;
 mod settings;
 mod state;
 
+pub use footprint::Footprint;
 pub use interface::*;
 pub use state::Controller;
 
