Take the list of workers in entry by entry, resume by number, and call back with jitter

Cause: an event was held whole, bounded by 1 MB, parsed whole, and handed on whole; a call that brought nothing was repeated after a fixed 100 ms.

Change: the stream is split as it arrives (event_stream), the one array of an event is found byte by byte (json_array), and each entry is read by itself, bounded by its size and their number (list_event). A table of what is known (table) stages what an event changes and drops the rest: an event that breaks off, or cannot be used, leaves no trace; a whole list that tells nothing new reaches nobody. An event that leaves a number out is asked for once more. The configuration's list goes the same way and is never held as JSON. Waits before the next call are drawn from up to 0.1 s, doubling to 1 s (back-off with full jitter): half of the 2 s after which what a break has kept back counts as told. Errors are enums. Workers of one event get 16 lines of the log, the others a number.

--- a/heronslip/src/core/mod.rs
+++ b/heronslip/src/core/mod.rs
@@ -11,7 +11,7 @@
 use crate::worker::{transport, Reports, Transport};
 use heronslip_policy::{Action, Controller, Effect, Entry, Event, Micros, Outcome, Settings, WorkerState};
 use miniserde::json::{self, Number, Object, Value};
-use std::collections::{BTreeMap, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
@@ -20,6 +20,8 @@
 
 const SWEEP: Micros = 1_000_000; // period in which idle connections are looked for
 
+/// Workers of one event that get a line of the log each; of the others their number is told.
+const MEMBERS_LOGGED: usize = 16;
 const LATE: Micros = 20_000; // more than an answer's margin: worth a line in the log
 
 /// What other parts may read of the core without asking it.
@@ -64,6 +66,11 @@
         self.transports().for_each(|t| t.cancel(key));
     }
 
+    /// What is known of it, once it is gone.
+    fn gone(&self) -> Member {
+        Member { state: WorkerState::Gone, ..self.member.clone() }
+    }
+
     fn stands_at(&self, address: SocketAddr) -> bool {
         self.member.address == address && self.member.state != WorkerState::Gone
     }
@@ -202,7 +209,7 @@
             }
             Message::Ended(key, report) => self.ended(key, report),
             Message::Ordered(order, outcome, copies) => self.ordered(order, outcome, copies),
-            Message::Members { source, full, members, kept } => self.members(source, full, members, &kept),
+            Message::Members { source, full, members } => self.members(source, full, members),
             Message::Inspect(reply) => {
                 let _ = reply.send(self.inspect()); // who asked may have left
             }
@@ -490,61 +497,25 @@
         }
     }
 
-    fn members(&mut self, source: Speech, full: bool, mut members: Vec<Member>, kept: &[String]) {
+    fn members(&mut self, source: Speech, full: bool, mut members: Vec<Member>) {
         one_at_an_address(&mut members);
         if full {
-            let listed: Vec<&String> = members.iter().map(|m| &m.id).chain(kept).collect();
-            let left = |p: &&Peer| p.member.speech == source && !listed.contains(&&p.member.id);
-            let gone = |p: &Peer| Member { state: WorkerState::Gone, ..p.member.clone() };
-            let gone: Vec<Member> = self.peers.values().filter(left).map(gone).collect();
+            let listed: BTreeSet<&str> = members.iter().map(|m| m.id.as_str()).collect();
+            let left = |p: &&Peer| p.member.speech == source && !listed.contains(p.member.id.as_str());
+            let gone: Vec<Member> = self.peers.values().filter(left).map(Peer::gone).collect();
             members.extend(gone);
         }
-        // Guards a worker from what is meant for the one that stood at its address before: the list may tell of
-        // that one's end later than of its coming, and calls would go by the old one's account. It may be new
-        // itself, or have moved there.
-        let here = |m: &Member| self.peers.get(&m.id).is_some_and(|p| p.stands_at(m.address));
-        let comes = |m: &&Member| m.state == WorkerState::Ready && !here(m);
-        let taken: Vec<(SocketAddr, &String)> =
-            members.iter().filter(comes).map(|m| (m.address, &m.id)).collect();
-        let by_other = |p: &Peer| taken.iter().any(|(at, by)| p.stands_at(*at) && **by != p.member.id);
-        let old = |p: &&Peer| by_other(p) && p.member.speech == source;
-        let gone = |p: &Peer| Member { state: WorkerState::Gone, ..p.member.clone() };
-        let gone: Vec<Member> = self.peers.values().filter(old).map(gone).collect();
-        members.splice(0..0, gone);
-        let mut entries = Vec::new();
-        for member in members {
-            let place = |names: &[String], name: &str| heronslip_policy::json::position(names, Some(name));
-            entries.push(Entry {
-                worker: member.id.clone(),
-                state: member.state,
-                started_at: member.started_at,
-                zone: place(&self.settings.zones, &member.zone),
-                kind: place(&self.settings.kinds, &member.kind),
-                cell: member.cell,
-            });
-            let ready = member.state == WorkerState::Ready;
-            log!("member {}: {:?} at {}", member.id, member.state, member.address);
-            let known = self.peers.get_mut(&member.id);
-            // An address may be taken over by a worker that is new: what was open to the old one stays there.
-            match known.filter(|p| p.member.address == member.address && p.member.speech == member.speech) {
-                Some(peer) => {
-                    if !ready || peer.member.started_at != member.started_at {
-                        peer.transport.retire();
-                    }
-                    peer.member = member;
-                }
-                None => {
-                    let to = transport(member.speech, member.address, &self.limits, &self.reports);
-                    let id = member.id.clone();
-                    let old =
-                        self.peers.insert(id.clone(), Peer { member, transport: to, former: Vec::new() });
-                    if let (Some(mut old), Some(peer)) = (old, self.peers.get_mut(&id)) {
-                        old.transport.retire();
-                        peer.former = old.former;
-                        peer.former.push(old.transport);
-                    }
-                }
+        members.splice(0..0, self.displaced(source, &members));
+        let quiet = members.len().saturating_sub(MEMBERS_LOGGED);
+        let mut entries = Vec::with_capacity(members.len());
+        for (n, member) in members.into_iter().enumerate() {
+            if n < MEMBERS_LOGGED {
+                log!("member {}: {:?} at {}", member.id, member.state, member.address);
             }
+            entries.push(self.member(member));
+        }
+        if quiet > 0 {
+            log!("member: {quiet} more have changed, {} are known", self.peers.len());
         }
         if !entries.is_empty() {
             self.events.push_back(Event::Members { full: false, entries });
@@ -552,6 +523,62 @@
         self.shared.ready.store(true, Ordering::Release);
     }
 
+    /// Workers at whose addresses others stand now. Guards a worker from what is meant for the one that stood at its
+    /// address before: the list may tell of that one's end later than of its coming, and calls would go by the old
+    /// one's account. It may be new itself, or have moved there.
+    fn displaced(&self, source: Speech, members: &[Member]) -> Vec<Member> {
+        let here = |m: &Member| self.peers.get(&m.id).is_some_and(|p| p.stands_at(m.address));
+        let comes = |m: &&Member| m.state == WorkerState::Ready && !here(m);
+        let taken: HashMap<SocketAddr, &str> =
+            members.iter().filter(comes).map(|m| (m.address, m.id.as_str())).collect();
+        if taken.is_empty() {
+            return Vec::new();
+        }
+        let by_other = |p: &Peer| {
+            let by = taken.get(&p.member.address).filter(|_| p.member.state != WorkerState::Gone);
+            by.is_some_and(|by| *by != p.member.id)
+        };
+        let old = |p: &&Peer| p.member.speech == source && by_other(p);
+        self.peers.values().filter(old).map(Peer::gone).collect()
+    }
+
+    /// Takes over what is told of one worker; the same for the module.
+    fn member(&mut self, mut member: Member) -> Entry {
+        let known = self.peers.get_mut(&member.id);
+        if let Some(peer) = known.as_ref().filter(|_| member.state == WorkerState::Gone) {
+            member = peer.gone(); // a list that leaves it out tells no more of it
+        }
+        let place = |names: &[String], name: &str| heronslip_policy::json::position(names, Some(name));
+        let entry = Entry {
+            worker: member.id.clone(),
+            state: member.state,
+            started_at: member.started_at,
+            zone: place(&self.settings.zones, &member.zone),
+            kind: place(&self.settings.kinds, &member.kind),
+            cell: member.cell,
+        };
+        // An address may be taken over by a worker that is new: what was open to the old one stays there.
+        match known.filter(|p| p.member.address == member.address && p.member.speech == member.speech) {
+            Some(peer) => {
+                if member.state != WorkerState::Ready || peer.member.started_at != member.started_at {
+                    peer.transport.retire();
+                }
+                peer.member = member;
+            }
+            None => {
+                let to = transport(member.speech, member.address, &self.limits, &self.reports);
+                let id = member.id.clone();
+                let old = self.peers.insert(id.clone(), Peer { member, transport: to, former: Vec::new() });
+                if let (Some(mut old), Some(peer)) = (old, self.peers.get_mut(&id)) {
+                    old.transport.retire();
+                    peer.former = old.former;
+                    peer.former.push(old.transport);
+                }
+            }
+        }
+        entry
+    }
+
     /// Tenants with their quotas and counts, members and open requests, as JSON.
     fn inspect(&self) -> String {
         let object = |fields: Vec<(&str, Value)>| {
--- a/heronslip/src/core/types.rs
+++ b/heronslip/src/core/types.rs
@@ -160,8 +160,6 @@
         full: bool,
         /// The members.
         members: Vec<Member>,
-        /// Ids that the list named and of which no more could be read: they stay as they are.
-        kept: Vec<String>,
     },
     /// Asks for a report of tenants, members and counts, as JSON.
     Inspect(may::sync::mpsc::Sender<String>),
--- /dev/null
+++ b/heronslip/src/discovery/client.rs
@@ -0,0 +1,312 @@
+//! Follows the notice board over HTTP: server-sent events, resumed by the number of the last one.
+use super::backoff::Backoff;
+use super::event_stream::{EventStream, StreamItem};
+use super::list_event::{EventBounds, EventError, EventReader};
+use super::table::{Staged, Table};
+use super::ListEvent;
+use crate::core::{Member, Message, Speech};
+use crate::http::{Chunked, Coded, Head};
+use crate::limits::Limits;
+use crate::net::timed_out;
+use crate::ring::Ring;
+use may::net::TcpStream;
+use may::sync::Mutex;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::sync::mpsc::Sender;
+use std::time::Instant;
+
+/// Where the board is. It may move while the program runs.
+pub struct Board(Mutex<Option<SocketAddr>>);
+
+impl Board {
+    /// A board at this address, or none yet.
+    pub fn new(address: Option<SocketAddr>) -> Self {
+        Board(Mutex::new(address))
+    }
+
+    /// The board is elsewhere from now on; whoever follows it notices within `Limits::board_check`.
+    pub fn moved(&self, to: SocketAddr) {
+        if let Ok(mut address) = self.0.lock() {
+            *address = Some(to);
+        }
+    }
+
+    fn address(&self) -> Option<SocketAddr> {
+        self.0.lock().ok().and_then(|a| *a)
+    }
+}
+
+/// Why a connection to the board ended.
+#[derive(Debug, thiserror::Error)]
+enum WatchError {
+    #[error(transparent)]
+    Connection(#[from] std::io::Error),
+    #[error("closed")]
+    Closed,
+    #[error("silent")]
+    Silent,
+    #[error("the board has moved")]
+    Moved,
+    #[error("status {0}")]
+    Status(u16),
+    #[error("{0}")]
+    Http(String),
+    #[error("an event without a number: {0}")]
+    Number(String),
+    /// Asked for once more, as it may have been spoilt on its way.
+    #[error("event {number} of {bytes} bytes: {fault}")]
+    Spoilt { number: u64, bytes: usize, fault: Fault },
+}
+
+/// What is wrong with an event that has come to its end.
+#[derive(Debug, thiserror::Error)]
+enum Fault {
+    #[error(transparent)]
+    Event(EventError),
+    #[error("{0}")]
+    Entry(String),
+    #[error("it does not follow event {0}")]
+    Gap(u64),
+}
+
+/// The list as it is known, and how far the board's events have been read.
+pub struct Follower {
+    table: Table,
+    bounds: EventBounds,
+    core: Sender<Message>,
+    /// Number of the last event that counts.
+    last: u64,
+    /// The event after it that could not be used when it came first.
+    spoilt: Option<u64>,
+}
+
+/// An event on its way.
+struct Incoming {
+    reader: EventReader,
+    staged: Staged,
+    /// It cannot be used; the rest of it is passed over.
+    error: Option<EventError>,
+    bytes: usize,
+}
+
+impl Follower {
+    /// Nothing is known yet.
+    pub fn new(limits: &Limits, core: Sender<Message>) -> Self {
+        let bounds = EventBounds { entry_bytes: limits.board_entry, entries: limits.board_entries };
+        Follower { table: Table::default(), bounds, core, last: 0, spoilt: None }
+    }
+
+    /// Takes over an event that was told with the configuration; whether all of it could be read.
+    pub fn take_known(&mut self, event: ListEvent) -> bool {
+        let mut staged = self.table.begin();
+        event.entries.into_iter().for_each(|entry| self.table.stage(entry, &mut staged));
+        let sound = staged.unreadable.is_empty();
+        self.commit(event.full, staged);
+        sound
+    }
+
+    /// The events up to this number are known.
+    pub fn known_to(&mut self, number: u64) {
+        self.last = number;
+    }
+
+    fn begin(&mut self) -> Incoming {
+        let staged = self.table.begin();
+        Incoming { reader: EventReader::new(self.bounds), staged, error: None, bytes: 0 }
+    }
+
+    /// Takes a byte of an event's data; whether it completed an entry.
+    fn data(&mut self, byte: u8, incoming: &mut Incoming) -> bool {
+        incoming.bytes += 1;
+        if incoming.error.is_some() {
+            return false;
+        }
+        match incoming.reader.byte(byte) {
+            Ok(Some(entry)) => self.table.stage(entry, &mut incoming.staged),
+            Ok(None) => return false,
+            Err(error) => {
+                incoming.error = Some(error);
+                incoming.staged = Staged::default();
+            }
+        }
+        true
+    }
+
+    /// An event has come to its end. One that cannot be used is asked for once more, as it may have been spoilt on
+    /// its way; the second time what cannot be used of it is passed over, or the board would be called for ever.
+    fn event(&mut self, id: &str, incoming: Incoming) -> Result<(), WatchError> {
+        let number: u64 = id.parse().map_err(|_| WatchError::Number(id.to_owned()))?;
+        // Guards against events written twice: an old one would undo what came after it.
+        if number <= self.last {
+            return Ok(());
+        }
+        let Incoming { reader, staged, error, bytes } = incoming;
+        let read = error.map_or_else(|| reader.finish(), Err);
+        let fault = match &read {
+            Err(error) => Some(Fault::Event(*error)),
+            Ok(_) if !staged.unreadable.is_empty() => {
+                staged.unreadable.first().map(|u| Fault::Entry(u.problem.clone()))
+            }
+            Ok(false) if self.last > 0 && number > self.last + 1 => Some(Fault::Gap(self.last)),
+            Ok(_) => None,
+        };
+        if let Some(fault) = fault.filter(|_| self.spoilt != Some(number)) {
+            self.spoilt = Some(number);
+            return Err(WatchError::Spoilt { number, bytes, fault });
+        }
+        match read {
+            Ok(full) => self.commit(full, staged),
+            Err(error) => note!("board: event {number} of {bytes} bytes cannot be used: {error}"),
+        }
+        (self.last, self.spoilt) = (number, None);
+        Ok(())
+    }
+
+    fn commit(&mut self, full: bool, mut staged: Staged) {
+        for unreadable in std::mem::take(&mut staged.unreadable) {
+            note!("board: an instance was skipped: {unreadable}");
+        }
+        let members = self.table.commit(full, staged);
+        self.tell(members);
+    }
+
+    /// Tells the core what has changed. An event that changes nothing is told too: the first makes it ready.
+    fn tell(&self, members: Vec<Member>) {
+        let _ = self.core.send(Message::Members { source: Speech::Frames, full: false, members });
+    }
+}
+
+/// Follows the board for ever: whenever the connection ends or the board moves it calls again, telling the
+/// last event seen.
+pub fn follow(board: &Board, mut follower: Follower, limits: &Limits, seed: u64) {
+    let mut backoff = Backoff::new(limits.board_retry, limits.board_retry_most, seed);
+    loop {
+        let (at, before) = (board.address(), follower.last);
+        if let Some(address) = at {
+            if let Err(why) = watch(board, address, &mut follower, limits) {
+                note!("board: connection to {address} ended after event {}: {why}", follower.last);
+            }
+        }
+        if follower.last != before || board.address() != at {
+            backoff.reset();
+        }
+        may::coroutine::sleep(backoff.wait());
+    }
+}
+
+/// One call of the board, until it ends.
+fn watch(
+    board: &Board, address: SocketAddr, follower: &mut Follower, limits: &Limits,
+) -> Result<(), WatchError> {
+    // However long workers may take to connect: what the board has to tell counts as told 4 s on.
+    let within = limits.connect.min(limits.board_silence / 2);
+    let mut stream = TcpStream::connect_timeout(&address, within)?;
+    stream.set_read_timeout(Some(limits.board_check))?;
+    let call = format!(
+        "GET /board/poll HTTP/1.1\r\nHost: {address}\r\nAccept: text/event-stream\r\nLast-Event-ID: {}\r\n\r\n",
+        follower.last
+    );
+    stream.write_all(call.as_bytes())?;
+    let mut answer = Answer::new(follower, limits);
+    let mut heard = Instant::now();
+    let mut ring = Ring::new(limits.client_ring);
+    loop {
+        match ring.fill(&mut stream) {
+            Ok(0) => return Err(WatchError::Closed),
+            Ok(_) => {}
+            Err(e) if timed_out(&e) => {}
+            Err(e) => return Err(e.into()),
+        }
+        // Guards against waiting at an address where nothing is told any more.
+        if board.address() != Some(address) {
+            return Err(WatchError::Moved);
+        }
+        // Only a line or an entry that has ended is a word: a head or an event that never ends tells nothing.
+        let mut word = false;
+        while !ring.is_empty() {
+            let piece = ring.front().len();
+            for at in 0..piece {
+                word |= answer.byte(ring.front()[at])?;
+            }
+            ring.consume(piece);
+        }
+        if word {
+            heard = Instant::now();
+        } else if heard.elapsed() >= limits.board_silence {
+            return Err(WatchError::Silent);
+        }
+    }
+}
+
+/// The board's answer as it arrives.
+struct Answer<'a> {
+    follower: &'a mut Follower,
+    most_head: usize,
+    head: Vec<u8>,
+    body: Body,
+    events: EventStream,
+    /// The event whose data is coming.
+    incoming: Option<Incoming>,
+}
+
+/// How the answer's body is coded.
+enum Body {
+    /// Its head has not been read yet.
+    Unknown,
+    Plain,
+    Chunked(Chunked),
+}
+
+impl<'a> Answer<'a> {
+    fn new(follower: &'a mut Follower, limits: &Limits) -> Self {
+        let (head, body, events) = (Vec::new(), Body::Unknown, EventStream::default());
+        Answer { follower, most_head: limits.head, head, body, events, incoming: None }
+    }
+
+    /// Takes the next byte; whether it completed a word.
+    fn byte(&mut self, byte: u8) -> Result<bool, WatchError> {
+        let content = match &mut self.body {
+            Body::Unknown => return self.head_byte(byte).map(|()| false),
+            Body::Plain => Some(byte),
+            Body::Chunked(coding) => match coding.byte(byte).map_err(WatchError::Http)? {
+                Coded::Byte(byte) => Some(byte),
+                Coded::Nothing => None,
+                Coded::End => return Err(WatchError::Closed),
+            },
+        };
+        match content.and_then(|byte| self.events.byte(byte)) {
+            None => Ok(false),
+            Some(StreamItem::Data(byte)) => {
+                let incoming = self.incoming.get_or_insert_with(|| self.follower.begin());
+                Ok(self.follower.data(byte, incoming))
+            }
+            Some(StreamItem::Line) => {
+                // The lines of an event's data are one text.
+                if let Some(incoming) = &mut self.incoming {
+                    self.follower.data(b'\n', incoming);
+                }
+                Ok(true)
+            }
+            Some(StreamItem::Event) => {
+                let event = self.incoming.take();
+                event.map_or(Ok(()), |event| self.follower.event(self.events.id(), event)).map(|()| true)
+            }
+        }
+    }
+
+    fn head_byte(&mut self, byte: u8) -> Result<(), WatchError> {
+        self.head.push(byte);
+        if self.head.ends_with(b"\r\n\r\n") {
+            let answer = Head::answer(&self.head).map_err(WatchError::Http)?;
+            if answer.status != 200 {
+                return Err(WatchError::Status(answer.status));
+            }
+            self.body = if answer.chunked { Body::Chunked(Chunked::default()) } else { Body::Plain };
+            self.head = Vec::new();
+        } else if self.head.len() > self.most_head {
+            return Err(WatchError::Http("the answer's head is too long".to_owned()));
+        }
+        Ok(())
+    }
+}
--- a/heronslip/src/lib.rs
+++ b/heronslip/src/lib.rs
@@ -10,17 +10,18 @@
 pub mod log;
 pub mod config;
 pub mod core;
+pub mod discovery;
 pub mod front;
 pub mod http;
 pub mod limits;
 pub mod net;
 pub mod ring;
-pub mod roster;
 pub mod shutdown;
 pub mod worker;
 
 use crate::core::{Core, Message, Shared, Speech};
 use config::Config;
+use discovery::{EventError, Follower, ListEvent};
 use front::{Door, Doors};
 use limits::Budget;
 use may::net::TcpListener;
@@ -55,37 +56,18 @@
             }
         })
         .map_err(|e| format!("core thread: {e}"))?;
-    let mut sound = true;
-    for event in config::notices(&config.known) {
-        match roster::notice(event) {
-            Ok(notice) => {
-                sound &= notice.skipped.is_empty();
-                roster::pass(notice, &queue);
-            }
-            Err(why) => {
-                sound = false;
-                log!("start: known notice skipped: {why}");
-            }
-        }
-    }
-    // What could not be read is asked for again: the board tells all it knows to whoever knows nothing.
-    let last = heronslip_policy::json::whole(&config.known, "rev").filter(|_| sound).unwrap_or(0);
-    let board = Arc::new(roster::Board::new(config.board));
-    let (own, within, core) = (board.clone(), limits.clone(), queue.clone());
-    net::spawn(limits.stack, move || roster::follow(&own, last, &within, &core))
+    let board = Arc::new(discovery::Board::new(config.board));
+    let follower = known(config.known, config.known_to, Follower::new(&limits, queue.clone()));
+    let (own, within, seed) = (board.clone(), limits.clone(), config.seed);
+    net::spawn(limits.stack, move || discovery::follow(&own, follower, &within, seed))
         .map_err(|e| format!("board: {e}"))?;
     let main = listen(config.listen, &doors, "fastcgi", front::fastcgi::serve)?;
     announce(&config.name, &main);
     let mut listeners = vec![main];
     if let Some(kserve) = config.kserve {
         if let Some(endpoints) = &kserve.endpoints {
-            let members = roster::endpoints(endpoints).map_err(|e| format!("endpoints: {e}"))?;
-            let _ = queue.send(Message::Members {
-                source: Speech::Kserve,
-                full: true,
-                members,
-                kept: Vec::new(),
-            });
+            let members = discovery::endpoints(endpoints).map_err(|e| format!("endpoints: {e}"))?;
+            let _ = queue.send(Message::Members { source: Speech::Kserve, full: true, members });
         }
         let front = listen(kserve.listen, &doors, "kserve", front::kserve::serve)?;
         announce("KServe v2", &front);
@@ -99,6 +81,23 @@
     shutdown::wait(signals, &listeners, &doors, &board)
 }
 
+/// Takes over the events that the configuration tells. What could not be read is asked for again: the board tells
+/// all it knows to whoever knows nothing.
+fn known(events: Vec<Result<ListEvent, EventError>>, to: u64, mut follower: Follower) -> Follower {
+    let mut sound = true;
+    for event in events {
+        match event {
+            Ok(event) => sound &= follower.take_known(event),
+            Err(why) => {
+                sound = false;
+                log!("start: known event skipped: {why}");
+            }
+        }
+    }
+    follower.known_to(if sound { to } else { 0 });
+    follower
+}
+
 fn announce(name: &str, door: &Door) {
     let address = door.listener.local_addr().map_or("?".to_owned(), |a| a.to_string());
     log!("start: {name} listens on {address}");
--- a/heronslip/src/limits.rs
+++ b/heronslip/src/limits.rs
@@ -79,10 +79,14 @@
     pub board_silence: Duration,
     /// How often the wait for the board looks whether the board has moved.
     pub board_check: Duration,
-    /// Wait before the board is called again after a failed call.
+    /// The wait before the board is called again is drawn from up to this at first, ...
     pub board_retry: Duration,
-    /// Most bytes of one event of the board.
-    pub board_event: usize,
+    /// ... and from up to this at last: what the board has to tell counts as told 2 s after a break.
+    pub board_retry_most: Duration,
+    /// Most bytes of one entry of the board's list.
+    pub board_entry: usize,
+    /// Most entries of one event of the board.
+    pub board_entries: usize,
     /// After SIGTERM the listeners stay open this long.
     pub stop_listening: Duration,
     /// The program ends at the latest so long after its listeners have closed.
@@ -141,7 +145,9 @@
             board_silence: Duration::from_millis(2_500), // what a silent board has to tell counts 4 s on
             board_check: Duration::from_millis(50),
             board_retry: Duration::from_millis(100),
-            board_event: 1024 * 1024,
+            board_retry_most: Duration::from_millis(1_000),
+            board_entry: 4 * 1024,
+            board_entries: memory / 1024, // what is kept of a worker takes more than that
             stop_listening: Duration::from_millis(700),
             // What came last before the listeners closed may take as long as any.
             stop_at_last: span(longest, 10_000).max(Duration::from_secs(3)),
--- a/heronslip/src/shutdown.rs
+++ b/heronslip/src/shutdown.rs
@@ -1,8 +1,8 @@
 //! Signals. SIGHUP has the configuration read again, to the last; SIGTERM lets the program go on for a while,
 //! then it ends once nothing is open.
 use crate::config::Config;
+use crate::discovery::Board;
 use crate::front::{Door, Doors};
-use crate::roster::Board;
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::net::Shutdown;
--- a/heronslip/tests/codecs.rs
+++ b/heronslip/tests/codecs.rs
@@ -1,8 +1,8 @@
 //! Readers of the wires, fed by hand.
 use heronslip::core::Speech;
+use heronslip::discovery::endpoints;
 use heronslip::http::{Chunked, Coded, Head};
 use heronslip::ring::Ring;
-use heronslip::roster::{endpoints, notice, Events, Notice};
 use heronslip::worker::frames::Decoder;
 use heronslip_policy::json::{object, parse};
 use heronslip_policy::WorkerState;
@@ -43,15 +43,6 @@
     assert!(Decoder::default().next(&mut ring, 100).is_err());
 }
 
-#[test]
-fn events_of_the_board_are_read() {
-    let mut events = Events::default();
-    let text = ": comment\nid: 7\r\ndata: {\"a\":\r\ndata: 1}\r\n\r\n: more\n\nid:8\ndata:x\n\n";
-    let found: Vec<_> = text.bytes().filter_map(|b| events.byte(b)).collect();
-    let pair = |id: &str, data: &str| (id.to_owned(), data.to_owned());
-    assert_eq!(found, [pair("7", "{\"a\":\n1}"), pair("8", "x")]);
-}
-
 /// What others can cause at full speed is written a few times a second, then counted.
 #[test]
 fn repeated_lines_are_counted() {
@@ -81,22 +72,6 @@
     assert!(Head::request(head.as_bytes()).is_err());
 }
 
-#[test]
-fn a_notice_becomes_members() {
-    let text = r#"{"rev":41,"pool":{"generation":7,"reset":true,"instances":[{"instanceId":"s-1","hostPort":
-        "127.0.0.1:9","zone":"east","machineType":"std","cell":2,"lifecycle":"draining","startedAtMs":5}]}}"#;
-    let json = parse(text).expect("JSON");
-    let Notice { full, members, skipped } = notice(object(&json).expect("an object")).expect("sound");
-    let m = &members[0];
-    assert!(
-        full && skipped.is_empty()
-            && m.state == WorkerState::Draining
-            && m.started_at == 5_000
-            && m.cell == 2,
-        "{m:?}"
-    );
-}
-
 /// Envoy's rules: an endpoint of unknown health takes work, one that drains takes nothing new.
 #[rstest]
 #[case::not_told("", WorkerState::Ready)]
--- a/heronslip/tests/common/mod.rs
+++ b/heronslip/tests/common/mod.rs
@@ -21,6 +21,8 @@
 //!     program reload [broken]                names the other board (a file that cannot be read); SIGHUP
 //!     wait MS
 #![allow(dead_code)]
+pub mod board_hand;
+
 use base64::{engine::general_purpose::STANDARD, Engine};
 use heronslip_policy::json::{list, object, parse, part, text};
 use std::cell::Cell;
--- a/heronslip/tests/discovery.rs
+++ b/heronslip/tests/discovery.rs
@@ -1,40 +1,12 @@
 //! The board as it hangs, stops and breaks off: each test is the board, and forces one crossing.
 mod common;
 
-use common::{instance, tell, Hand, Plan, Stage, PATIENCE, SETTINGS};
+use common::board_hand::{board, called, HEAD};
+use common::{instance, tell, Hand, Plan, Stage, SETTINGS};
 use rstest::rstest;
-use std::io::{Read, Write};
+use std::io::Write;
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::time::{Duration, Instant};
-
-const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n";
-
-/// The next call of a board, its head read, within the tests' patience.
-fn called(listener: &TcpListener) -> (TcpStream, String) {
-    listener.set_nonblocking(true).expect("set");
-    let until = Instant::now() + PATIENCE;
-    loop {
-        if let Ok((mut stream, _)) = listener.accept() {
-            stream.set_nonblocking(false).expect("set");
-            stream.set_read_timeout(Some(PATIENCE)).expect("set");
-            let mut head = Vec::new();
-            while !head.ends_with(b"\r\n\r\n") {
-                let mut byte = [0];
-                stream.read_exact(&mut byte).expect("a head");
-                head.extend(byte);
-            }
-            return (stream, String::from_utf8(head).expect("text"));
-        }
-        assert!(Instant::now() < until, "the board was not called again");
-        std::thread::sleep(Duration::from_millis(5));
-    }
-}
-
-fn board() -> (TcpListener, Option<SocketAddr>) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let at = listener.local_addr().ok();
-    (listener, at)
-}
+use std::time::Duration;
 
 /// A board that takes the call and then comes to nothing is called anew; bytes alone are no word.
 #[rstest]
