Keep the head of each function's order of workers, not all of it

Cause: each function kept an order of all workers (60 KB), copied it at each use, made it anew whenever a worker was replaced, and a loss looked at all of them before it took the first that fits.

Change: a function keeps the first 64 of its order, or twice as many as it has copies; a worker that comes costs each function one draw; a loss takes the first that fits and looks further only if none does. New workers take vacant slots found once an event, not once each. The order is the same, so front ends agree as before.

--- a/src/control.rs
+++ b/src/control.rs
@@ -13,7 +13,7 @@
 const SEC: Micros = 1_000_000;
 const TICK: Micros = 20 * MS; // housekeeping while requests are open: well under any aim
 const SURVEY: Micros = 100 * MS; // period of what walks the fleet, and of idle housekeeping
-const PLACES_ASKED: usize = 6; // first places of the common draw that are asked: others looked there too
+const ASKED: usize = 6; // first workers of the common order that are asked: others looked there too
 const END_MARGIN: Micros = 8 * MS; // the final answer comes this long before the client leaves
 const LONGEST: Micros = 3_600 * SEC; // longest request life kept: absurd figures cannot overflow the clock
 const ASK_WAIT: Micros = 60 * MS; // a lost request waits this long for first answers: several round trips
@@ -69,8 +69,7 @@
 /// class that earns least a unit of time, the one that earns most.
 const REFUSE: (f64, f64, f64) = (0.6, 0.8, 1.3);
 const HELD_PART: f64 = 0.45; // part of its life that a request waits with no attempt made
-/// Most that such a request waits for a function never served here: it may be one that no worker knows, and
-/// whoever asks for such a thing is owed a word within 3 s (terms of service), the way of the answer included.
+/// The same for a function never served here: no worker may know it, and a word is owed within 3 s (terms).
 const HELD_UNPROVEN: Micros = 2_700 * MS;
 const TURNED_AWAY: usize = 3; // attempts that never ran after which nobody is asked again
 const UNPROVEN_ERRORS: u32 = 2; // errors after which a call of a function never served here ends
@@ -152,7 +151,7 @@
     // ---- the list of workers
 
     fn members(&mut self, now: Micros, full: bool, entries: Vec<Entry>, out: &mut Vec<Action>) {
-        let (started, emptied) = self.listed(now, full, entries);
+        let (started, emptied) = self.listed(now, full, entries, draw);
         for w in started {
             // A new process: past health says nothing, and it holds no copy.
             let draw = self.draw();
@@ -754,12 +753,12 @@
     /// Learns before loading: asks ready workers whether the function stands there. True while answers are
     /// awaited. Guards against a (re)started gateway loading what others have loaded already.
     fn ask(&mut self, f: usize, now: Micros, out: &mut Vec<Action>) -> bool {
-        let most = if self.set.gateways > 1 { PLACES_ASKED } else { usize::MAX };
-        let places = self.places(f, draw);
+        let most = if self.set.gateways > 1 { ASKED } else { usize::MAX };
+        let order = if most == ASKED { self.nearest(f, draw) } else { self.by_preference(f, draw) };
         let open = |&w: &usize| self.set.orders && self.workers[w].ready() && !self.suspect(w);
-        let places: Vec<usize> = places.into_iter().filter(open).take(most).collect();
+        let asked: Vec<usize> = order.into_iter().filter(open).take(most).collect();
         let mut awaited = false;
-        for w in places {
+        for w in asked {
             let left = self.questions >= 1.0;
             let c = self.copy(f, w);
             if let Some(Order::Ask(t)) = c.order {
@@ -820,7 +819,7 @@
     /// Where a new copy goes: a random worker on which the least recently lost function lies idle, else any.
     /// A slot once given away is passed over until its function is used again, as if it had been evicted.
     fn target(&mut self, f: usize, now: Micros, id: Option<RequestId>) -> Option<usize> {
-        let (class, places) = (self.functions[f].class, self.places(f, draw));
+        let (class, nearest) = (self.functions[f].class, self.nearest(f, draw));
         let fits = |w: usize, warm_too: bool| {
             let worker = &self.workers[w];
             let c = self.functions[f].at.get(&w);
@@ -832,10 +831,6 @@
                 && now >= worker.full_until
                 && id.is_none_or(|id| self.allowed(id, w, now))
         };
-        let mut fitting: Vec<usize> = places.iter().copied().filter(|&w| fits(w, false)).collect();
-        if fitting.is_empty() {
-            fitting = places.into_iter().filter(|&w| fits(w, true)).collect();
-        }
         let idle = |c: &Copy| c.warm(now) && c.ours == 0;
         // Exception, while several gateways share the workers: private draws would give each of them copies
         // of its own. They draw alike instead, in an order that the ids alone decide, and take the first
@@ -847,9 +842,18 @@
                 g.last_lost < lost && g.at.get(&w).is_some_and(idle)
             };
             let gives = |w: usize| self.workers[w].holds.iter().any(|g| yields(g, w));
-            let fits = |w: &&usize| self.room(f, **w, now) >= 0.0 || gives(**w);
-            return fitting.iter().find(fits).or(fitting.first()).copied();
-        }
+            let choose = |order: &[usize], warm_too| {
+                let fitting = || order.iter().copied().filter(|&w| fits(w, warm_too));
+                fitting().find(|&w| self.room(f, w, now) >= 0.0 || gives(w)).or_else(|| fitting().next())
+            };
+            return choose(&nearest, false).or_else(|| {
+                let all = self.by_preference(f, draw);
+                choose(&all, false).or_else(|| choose(&all, true))
+            });
+        }
+        let order = self.by_preference(f, draw);
+        let fitting = |warm_too| order.iter().copied().filter(|&w| fits(w, warm_too)).collect::<Vec<_>>();
+        let fitting = Some(fitting(false)).filter(|f| !f.is_empty()).unwrap_or_else(|| fitting(true));
         let mut others: Vec<usize> = (0..self.functions.len()).filter(|&g| g != f).collect();
         others.sort_by_key(|&g| self.functions[g].last_lost);
         for g in others {
--- a/src/footprint.rs
+++ b/src/footprint.rs
@@ -1,6 +1,6 @@
 //! How much a controller keeps, for those who plan for larger fleets: counts of its records, and their bytes.
 use crate::interface::RequestId;
-use crate::state::{Attempt, Controller, Copy, Function, Request, Worker};
+use crate::state::{Attempt, Controller, Copy, Function, Preferred, Request, Worker};
 use std::mem::size_of;
 
 /// Records that a [`Controller`] keeps. Counts are exact; [`Footprint::bytes`] is worked out from them.
@@ -26,14 +26,11 @@
         self.workers * (size_of::<Worker>() + name + 4 * index)
             + self.functions * (size_of::<Function>() + 3 * index)
             + self.copies * (size_of::<Copy>() + 3 * index)
-            + self.preferences * size_of::<Preference>()
+            + self.preferences * size_of::<Preferred>()
             + self.requests * (size_of::<RequestId>() + size_of::<Request>() + size_of::<Attempt>())
     }
 }
 
-/// An entry of a function's order of workers.
-type Preference = usize;
-
 impl Controller {
     /// What is kept now. Walks all records.
     pub fn footprint(&self) -> Footprint {
@@ -42,7 +39,7 @@
             workers: self.workers.len(),
             functions: self.function_ids.len(),
             copies: functions().map(|f| f.at.len()).sum(),
-            preferences: functions().map(|f| f.places.len()).sum(),
+            preferences: functions().map(|f| f.nearest.len()).sum(),
             requests: self.requests.len(),
         }
     }
--- a/src/state.rs
+++ b/src/state.rs
@@ -39,10 +39,50 @@
     pub(crate) last_lost: Micros,
     pub(crate) proven: bool,
     pub(crate) at: BTreeMap<usize, Copy>,
-    pub(crate) places: Vec<usize>,
+    /// Workers that come first in its order, highest draw first; empty until it is needed.
+    pub(crate) nearest: Vec<Preferred>,
+    /// How many are kept, once any are.
+    pub(crate) kept: usize,
     pub(crate) held: VecDeque<RequestId>,
 }
 
+/// How high a worker stands in a function's order; the same at every gateway.
+pub(crate) type Draw = fn(FunctionId, &str) -> u64;
+
+/// Workers at the head of a function's order that are kept at least: ten times those asked for a copy, so that dead,
+/// cold and full ones among them leave enough. Of a function that has copies, twice as many as it has.
+pub(crate) const NEAREST: usize = 64;
+
+/// A worker in a function's order.
+#[derive(Clone, Copy)]
+pub(crate) struct Preferred {
+    draw: u64,
+    worker: u32,
+}
+
+impl Preferred {
+    fn rank(&self) -> (std::cmp::Reverse<u64>, u32) {
+        (std::cmp::Reverse(self.draw), self.worker)
+    }
+}
+
+impl Function {
+    /// A worker has come, maybe into the slot of one that left. `all` is the number of slots.
+    fn prefer(&mut self, new: Preferred, all: usize) {
+        self.nearest.retain(|p| p.worker != new.worker);
+        // Workers behind the last one kept are not known: none may be put there, unless it is all there are.
+        let complete = self.nearest.len() + 1 >= all;
+        let before = self.nearest.partition_point(|p| p.rank() < new.rank());
+        if before < self.nearest.len() || complete {
+            self.nearest.insert(before, new);
+            self.nearest.truncate(self.kept);
+        }
+        if self.nearest.len() < self.kept / 2 && self.nearest.len() < all {
+            self.nearest.clear(); // made anew when it is needed
+        }
+    }
+}
+
 /// A listed worker: our attempts out by age, its last report, and how it has done of late.
 pub(crate) struct Worker {
     pub(crate) entry: Entry,
@@ -262,39 +302,53 @@
         Action::Load { worker: self.workers[w].entry.worker.clone(), function: self.functions[f].id, count }
     }
 
-    /// A place for a new worker: that of one that is gone, once nothing refers to it, so that nothing grows
-    /// with the workers there ever were.
-    fn seat(&mut self, e: Entry, now: Micros) -> usize {
-        let named = |w: usize| self.requests.values().any(|r| r.attempts.iter().any(|a| a.worker == w));
-        let left = |&w: &usize| {
-            let (worker, functions) = (&self.workers[w], &self.functions);
-            let used = |f: &usize| functions[*f].at.get(&w).is_some_and(Copy::in_use);
-            let quiet = worker.out.is_empty() && !worker.holds.iter().any(used);
-            worker.entry.state == WorkerState::Gone && quiet && !named(w)
+    /// Slots of workers that are gone and to which nothing refers any more, so that nothing grows with the workers
+    /// there ever were.
+    fn vacant(&self) -> Vec<usize> {
+        let gone = |&w: &usize| self.workers[w].entry.state == WorkerState::Gone;
+        let gone: Vec<usize> = (0..self.workers.len()).filter(gone).collect();
+        if gone.is_empty() {
+            return gone;
+        }
+        let attempts = self.requests.values().flat_map(|r| r.attempts.iter().map(|a| a.worker));
+        let named: BTreeSet<usize> = attempts.collect();
+        let left = |w: &usize| {
+            let (worker, functions) = (&self.workers[*w], &self.functions);
+            let used = |f: &usize| functions[*f].at.get(w).is_some_and(Copy::in_use);
+            worker.out.is_empty() && !worker.holds.iter().any(used) && !named.contains(w)
         };
-        let w = (0..self.workers.len()).find(left).unwrap_or(self.workers.len());
+        gone.into_iter().filter(left).rev().collect()
+    }
+
+    /// Gives a new worker a slot: a vacant one, else a new one.
+    fn admit(&mut self, e: Entry, now: Micros, vacant: &mut Vec<usize>, draw: Draw) -> usize {
         let id = e.worker.clone();
+        let w = vacant.pop().unwrap_or(self.workers.len());
         if w < self.workers.len() {
             self.void(w);
             self.worker_ids.remove(&self.workers[w].entry.worker);
             self.workers[w] = Worker::new(e, now);
-            self.functions.iter_mut().for_each(|f| f.places.clear()); // the order of the places is another
         } else {
             self.workers.push(Worker::new(e, now));
         }
+        let all = self.workers.len();
+        for function in self.functions.iter_mut().filter(|f| !f.nearest.is_empty()) {
+            function.prefer(Preferred { draw: draw(function.id, &id), worker: w as u32 }, all);
+        }
         self.worker_ids.insert(id, w);
         w
     }
 
     /// Takes over news of the list. Returns the workers whose process is new, and those that hold nothing now.
     pub(crate) fn listed(
-        &mut self, now: Micros, full: bool, entries: Vec<Entry>,
+        &mut self, now: Micros, full: bool, entries: Vec<Entry>, draw: Draw,
     ) -> (Vec<usize>, Vec<usize>) {
         let (mut seen, mut started, mut emptied) = (BTreeSet::new(), Vec::new(), Vec::new());
+        let mut vacant = self.vacant();
         for e in entries {
             let Some(&w) = self.worker_ids.get(&e.worker) else {
                 if e.state != WorkerState::Gone {
-                    let w = self.seat(e, now);
+                    let w = self.admit(e, now, &mut vacant, draw);
                     seen.insert(w);
                     started.push(w);
                 }
@@ -357,15 +411,42 @@
         self.workers[w].out.insert((now, id, r.attempts.len() - 1));
     }
 
-    /// All workers in the function's order of a draw, highest first; made anew when workers were added.
-    pub(crate) fn places(&mut self, f: usize, draw: fn(FunctionId, &str) -> u64) -> Vec<usize> {
+    /// All workers in the function's order, highest draw first. Made anew each time: see [`Controller::nearest`].
+    pub(crate) fn by_preference(&self, f: usize, draw: Draw) -> Vec<usize> {
         let (id, workers) = (self.functions[f].id, &self.workers);
-        if self.functions[f].places.len() != workers.len() {
-            let mut places: Vec<usize> = (0..workers.len()).collect();
-            places.sort_by_cached_key(|&w| std::cmp::Reverse(draw(id, &workers[w].entry.worker)));
-            self.functions[f].places = places;
+        let mut order: Vec<usize> = (0..workers.len()).collect();
+        order.sort_by_cached_key(|&w| std::cmp::Reverse(draw(id, &workers[w].entry.worker)));
+        order
+    }
+
+    /// The first workers in the function's order: [`NEAREST`], or twice as many as it has copies. Kept, and kept up
+    /// as workers come: what a function takes does not grow with the fleet, and a change of the list costs each of
+    /// them one draw.
+    pub(crate) fn nearest(&mut self, f: usize, draw: Draw) -> Vec<usize> {
+        let function = &self.functions[f];
+        if function.nearest.is_empty() || 2 * function.at.len() > function.kept {
+            let kept = NEAREST.max((2 * function.at.len()).next_power_of_two());
+            let nearest = self.first_by_preference(f, kept, draw);
+            let function = &mut self.functions[f];
+            (function.nearest, function.kept) = (nearest, kept);
+        }
+        self.functions[f].nearest.iter().map(|p| p.worker as usize).collect()
+    }
+
+    fn first_by_preference(&self, f: usize, kept: usize, draw: Draw) -> Vec<Preferred> {
+        let id = self.functions[f].id;
+        let drawn = |(w, worker): (usize, &Worker)| Preferred {
+            draw: draw(id, &worker.entry.worker),
+            worker: w as u32,
+        };
+        let mut order: Vec<Preferred> = self.workers.iter().enumerate().map(drawn).collect();
+        if order.len() > kept {
+            order.select_nth_unstable_by_key(kept, Preferred::rank);
+            order.truncate(kept);
+            order.shrink_to_fit();
         }
-        self.functions[f].places.clone()
+        order.sort_unstable_by_key(Preferred::rank);
+        order
     }
 
     /// Ends a request's record, or leaves it until its attempts have ended; those still out are called off.
