Let a connection's rings grow with what they hold

Seen with heronslip-scale node at 7,500 workers: 595 descriptors and 123 MB, 16 MB without calls: 180 KB a connection. Cause: each connection to a worker allocated two rings of 64 KB at once; reused memory of that size is cleared and so resident.

--- a/heronslip/tests/ring.rs
+++ b/heronslip/tests/ring.rs
@@ -16,3 +16,19 @@
     ring.truncate(1);
     assert_eq!((ring.front(), ring.free()), (&[9u8][..], 6));
 }
+
+/// Hundreds of connections each have two rings: one that holds little takes little, whatever it may hold.
+#[test]
+fn memory_follows_what_is_held() {
+    let (mut ring, mut out) = (Ring::new(64 * 1024), Vec::new());
+    assert_eq!((ring.allocated(), ring.free()), (0, 64 * 1024));
+    for _ in 0..1_000 {
+        assert_eq!(ring.push(&[7; 300]), 300);
+        ring.consume(300);
+    }
+    assert!(ring.allocated() <= 1024);
+    let data: Vec<u8> = (0..70_000u32).map(|n| n as u8).collect();
+    assert_eq!(ring.push(&data), 64 * 1024);
+    ring.take(usize::MAX, &mut out);
+    assert!(out == data[..64 * 1024] && ring.allocated() <= 8 * 1024, "{}", ring.allocated());
+}
