Walk only the workers that are connected, and make room for connections a part at a time

Change: core/peers.rs owns the workers and knows which of them are connected; the count is kept, and where connections are at their bound one in 32 makes way at a time.

--- a/heronslip/src/core/mod.rs
+++ b/heronslip/src/core/mod.rs
@@ -1,6 +1,7 @@
 //! The one thread that owns the decision module. Fronts, transports and the roster reach it through its
 //! queue only; it knows requests, attempts, outcomes and members, and no wire.
 mod clock;
+mod peers;
 mod timers;
 mod types;
 
@@ -8,11 +9,11 @@
 pub use types::*;
 
 use crate::limits::Limits;
-use crate::worker::{transport, Reports, Transport};
+use crate::worker::{transport, Reports};
 use heronslip_policy::{Action, Controller, Effect, Entry, Event, Micros, Outcome, Settings, WorkerState};
 use miniserde::json::{self, Number, Object, Value};
+use peers::{one_at_an_address, Peer, Peers};
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::Arc;
@@ -20,6 +21,8 @@
 
 const SWEEP: Micros = 1_000_000; // period in which idle connections are looked for
 
+/// Of the connections to workers one in so many is closed at a time where all are in use.
+const MAKE_WAY_PART: usize = 32;
 /// Workers of one event that get a line of the log each; of the others their number is told.
 const MEMBERS_LOGGED: usize = 16;
 const LATE: Micros = 20_000; // more than an answer's margin: worth a line in the log
@@ -49,46 +52,6 @@
     attempts: Vec<Attempt>,
 }
 
-struct Peer {
-    member: Member,
-    transport: Box<dyn Transport>,
-    /// To addresses where it stood before: what is out there may still be answered.
-    former: Vec<Box<dyn Transport>>,
-}
-
-impl Peer {
-    fn transports(&mut self) -> impl Iterator<Item = &mut Box<dyn Transport>> {
-        self.former.iter_mut().chain([&mut self.transport])
-    }
-
-    /// Gives an attempt up, at whichever address it is out.
-    fn cancel(&mut self, key: AttemptKey) {
-        self.transports().for_each(|t| t.cancel(key));
-    }
-
-    /// What is known of it, once it is gone.
-    fn gone(&self) -> Member {
-        Member { state: WorkerState::Gone, ..self.member.clone() }
-    }
-
-    fn stands_at(&self, address: SocketAddr) -> bool {
-        self.member.address == address && self.member.state != WorkerState::Gone
-    }
-
-    fn sweep(&mut self) {
-        self.transports().for_each(|t| t.sweep());
-        self.former.retain(|t| !t.is_idle());
-    }
-
-    fn is_idle(&self) -> bool {
-        self.former.is_empty() && self.transport.is_idle()
-    }
-
-    fn connections(&self) -> usize {
-        self.former.iter().chain([&self.transport]).map(|t| t.connections().0).sum()
-    }
-}
-
 #[derive(Clone, Default)]
 struct Counts {
     asked: u64,
@@ -114,28 +77,13 @@
     by_client: BTreeMap<(u64, u64), u64>,
     /// The ids that clients gave, of requests that are owed an answer.
     wire_ids: HashSet<u64>,
-    peers: BTreeMap<String, Peer>,
+    peers: Peers,
     orders: HashMap<u64, (String, u64, Micros)>,
     timers: Timers,
     events: VecDeque<Event>,
     counts: Vec<Counts>,
 }
 
-/// Of ready workers at one address the one that started last stands there, of equals the one listed last.
-fn one_at_an_address(members: &mut [Member]) {
-    let mut stands = BTreeMap::new();
-    for (n, m) in members.iter().enumerate().filter(|(_, m)| m.state == WorkerState::Ready) {
-        let best = stands.entry(m.address).or_insert((m.started_at, n));
-        *best = (*best).max((m.started_at, n));
-    }
-    for (n, m) in members.iter_mut().enumerate().filter(|(_, m)| m.state == WorkerState::Ready) {
-        if stands.get(&m.address).is_some_and(|&(_, last)| last != n) {
-            note!("member {}: taken for gone, another is listed at {}", m.id, m.address);
-            m.state = WorkerState::Gone;
-        }
-    }
-}
-
 impl Core {
     /// A core that knows nothing yet.
     pub fn new(
@@ -156,7 +104,7 @@
             requests: HashMap::new(),
             by_client: BTreeMap::new(),
             wire_ids: HashSet::new(),
-            peers: BTreeMap::new(),
+            peers: Peers::default(),
             orders: HashMap::new(),
             timers: Timers::default(),
             events: VecDeque::new(),
@@ -381,16 +329,14 @@
                 let (now, every) = (self.clock.now(), self.limits.link_check);
                 // Guards sound connections from our own stand-still: what came meanwhile is not read yet.
                 if now < self.pulsed + 2 * every {
-                    self.peers.values_mut().flat_map(Peer::transports).for_each(|t| t.pulse());
+                    self.peers.pulse();
                 }
+                self.peers.count();
                 self.pulsed = now;
                 self.timers.set(now + every, Due::Pulse);
             }
             Due::Sweep => {
-                self.peers.values_mut().for_each(Peer::sweep);
-                // Guards memory: workers are replaced by new ones all day long.
-                let here = |p: &Peer| p.member.state != WorkerState::Gone || !p.is_idle();
-                self.peers.retain(|_, p| here(p));
+                self.peers.sweep();
                 self.timers.set(self.clock.now() + SWEEP, Due::Sweep);
             }
         }
@@ -436,7 +382,7 @@
                 // Guards rule 3 whatever the module thinks: no order to load goes to a worker that drains.
                 let may = |p: &&mut Peer| p.member.state == WorkerState::Ready || count == 0;
                 let room = self.make_room(&worker, true);
-                match self.peers.get_mut(&worker).filter(may) {
+                match self.peers.reach(&worker).filter(may) {
                     Some(peer) if room => peer.transport.order(order, function, count),
                     Some(_) => self.reports.ordered(order, Outcome::Moot, 0),
                     None => self.reports.ordered(order, Outcome::ConnectFailed, 0),
@@ -445,7 +391,7 @@
             }
             Action::Drop { worker, function } => {
                 let room = self.make_room(&worker, true);
-                if let Some(peer) = self.peers.get_mut(&worker).filter(|_| room) {
+                if let Some(peer) = self.peers.reach(&worker).filter(|_| room) {
                     peer.transport.unload(function);
                 }
             }
@@ -455,23 +401,27 @@
     }
 
     /// Whether an exchange with a worker finds a connection or may open one. Guards the descriptors: where
-    /// connections are at their bound, the one that has been idle for longest is closed for it. Orders leave a
+    /// connections are at their bound, a part of them makes way, those idle for longest first. Orders leave a
     /// quarter to calls: a new function may be asked for at all workers at once.
     fn make_room(&mut self, worker: &str, order: bool) -> bool {
         if !self.peers.get(worker).is_some_and(|p| p.transport.connections().1) {
             return true;
         }
-        let open: usize = self.peers.values().map(Peer::connections).sum();
-        let most = self.limits.worker_connections;
-        if open < if order { most - most / 4 } else { most } {
-            return true;
-        }
-        let idle = self.peers.values_mut().filter_map(|p| Some((p.transport.idle_since()?, p)));
-        let oldest = idle.min_by_key(|(since, _)| *since).map(|(_, p)| p.transport.close_idle());
-        if oldest.is_none() {
-            note!("core: nothing sent to {worker}: {open} connections to workers are in use");
+        let all = self.limits.worker_connections;
+        let most = if order { all - all / 4 } else { all };
+        // A part at a time: which are idle for longest is not to be looked for at each exchange.
+        let room = self.peers.connections() < most
+            || self.peers.close_idle(all / MAKE_WAY_PART + 1) > 0
+            || self.peers.count() < most;
+        if room {
+            self.peers.opens();
+        } else {
+            note!(
+                "core: nothing sent to {worker}: {} connections to workers are in use",
+                self.peers.connections()
+            );
         }
-        oldest.is_some()
+        room
     }
 
     fn send(&mut self, now: Micros, id: u64, worker: String, timeout: Micros) {
@@ -485,7 +435,7 @@
         let owed = !open.answered && budget > 0;
         let room = owed && self.make_room(&worker, false);
         let ready = |p: &&mut Peer| p.member.state == WorkerState::Ready;
-        match self.peers.get_mut(&worker).filter(ready) {
+        match self.peers.reach(&worker).filter(ready) {
             Some(peer) if room => {
                 peer.transport.send(key, &request, budget);
                 self.timers.set(now.saturating_add(budget), Due::Attempt(key));
@@ -505,7 +455,7 @@
             let gone: Vec<Member> = self.peers.values().filter(left).map(Peer::gone).collect();
             members.extend(gone);
         }
-        members.splice(0..0, self.displaced(source, &members));
+        members.splice(0..0, self.peers.displaced(source, &members));
         let quiet = members.len().saturating_sub(MEMBERS_LOGGED);
         let mut entries = Vec::with_capacity(members.len());
         for (n, member) in members.into_iter().enumerate() {
@@ -523,25 +473,6 @@
         self.shared.ready.store(true, Ordering::Release);
     }
 
-    /// Workers at whose addresses others stand now. Guards a worker from what is meant for the one that stood at its
-    /// address before: the list may tell of that one's end later than of its coming, and calls would go by the old
-    /// one's account. It may be new itself, or have moved there.
-    fn displaced(&self, source: Speech, members: &[Member]) -> Vec<Member> {
-        let here = |m: &Member| self.peers.get(&m.id).is_some_and(|p| p.stands_at(m.address));
-        let comes = |m: &&Member| m.state == WorkerState::Ready && !here(m);
-        let taken: HashMap<SocketAddr, &str> =
-            members.iter().filter(comes).map(|m| (m.address, m.id.as_str())).collect();
-        if taken.is_empty() {
-            return Vec::new();
-        }
-        let by_other = |p: &Peer| {
-            let by = taken.get(&p.member.address).filter(|_| p.member.state != WorkerState::Gone);
-            by.is_some_and(|by| *by != p.member.id)
-        };
-        let old = |p: &&Peer| p.member.speech == source && by_other(p);
-        self.peers.values().filter(old).map(Peer::gone).collect()
-    }
-
     /// Takes over what is told of one worker; the same for the module.
     fn member(&mut self, mut member: Member) -> Entry {
         let known = self.peers.get_mut(&member.id);
@@ -568,7 +499,7 @@
             None => {
                 let to = transport(member.speech, member.address, &self.limits, &self.reports);
                 let id = member.id.clone();
-                let old = self.peers.insert(id.clone(), Peer { member, transport: to, former: Vec::new() });
+                let old = self.peers.insert(Peer { member, transport: to, former: Vec::new() });
                 if let (Some(mut old), Some(peer)) = (old, self.peers.get_mut(&id)) {
                     old.transport.retire();
                     peer.former = old.former;
