Give the messages between core, fronts, discovery and transports a module below them

core and worker imported each other: transports took their types from the core, which owns the transports. The types both use now stand in messages.rs, which depends on neither; the count of requests being read goes with them. Names and behaviour are the same.

--- a/heronslip/src/core/mod.rs
+++ b/heronslip/src/core/mod.rs
@@ -1,14 +1,13 @@
-//! The one thread that owns the decision module. Fronts, transports and the roster reach it through its
+//! The one thread that owns the decision module. Fronts, transports and discovery reach it through its
 //! queue only; it knows requests, attempts, outcomes and members, and no wire.
 mod clock;
 mod peers;
 mod timers;
-mod types;
 
 pub use clock::Clock;
-pub use types::*;
 
 use crate::limits::Limits;
+use crate::messages::{Answer, AttemptKey, Client, Member, Message, Report, Request, Speech};
 use crate::worker::{transport, Reports};
 use heronslip_policy::{Action, Controller, Effect, Entry, Event, Micros, Outcome, Settings, WorkerState};
 use miniserde::json::{self, Number, Object, Value};
--- a/heronslip/src/core/peers.rs
+++ b/heronslip/src/core/peers.rs
@@ -1,5 +1,5 @@
 //! The workers as the core knows them, and which of them it holds connections to.
-use super::{AttemptKey, Member, Speech};
+use crate::messages::{AttemptKey, Member, Speech};
 use crate::worker::Transport;
 use heronslip_policy::WorkerState;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
--- a/heronslip/src/core/timers.rs
+++ b/heronslip/src/core/timers.rs
@@ -1,5 +1,5 @@
 //! One heap of timers; none can be taken back, what is no longer needed is ignored when it is due.
-use super::AttemptKey;
+use crate::messages::AttemptKey;
 use heronslip_policy::Micros;
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
--- a/heronslip/src/discovery/instance.rs
+++ b/heronslip/src/discovery/instance.rs
@@ -1,5 +1,5 @@
 //! One entry of the board's list.
-use crate::core::{Member, Speech};
+use crate::messages::{Member, Speech};
 use heronslip_policy::json::{parse, span, text, whole};
 use heronslip_policy::WorkerState;
 use miniserde::json::{Object, Value};
--- a/heronslip/src/discovery/list_event.rs
+++ b/heronslip/src/discovery/list_event.rs
@@ -2,7 +2,7 @@
 //! by the size of one, not by the size of the event.
 use super::instance::{instance, Unreadable};
 use super::json_array::{ArrayScanner, Place, ScanError};
-use crate::core::Member;
+use crate::messages::Member;
 use heronslip_policy::json::{flag, parse, part};
 use miniserde::json::Value;
 
--- a/heronslip/src/discovery/mod.rs
+++ b/heronslip/src/discovery/mod.rs
@@ -17,7 +17,7 @@
 pub use table::Table;
 pub use xds::endpoints;
 
-use crate::core::Member;
+use crate::messages::Member;
 use instance::Unreadable;
 
 /// An event of the list, read whole.
--- a/heronslip/src/discovery/table.rs
+++ b/heronslip/src/discovery/table.rs
@@ -1,6 +1,6 @@
 //! What the board has told of each worker, so that only what changes goes on to the core.
 use super::instance::Unreadable;
-use crate::core::{Member, Speech};
+use crate::messages::{Member, Speech};
 use heronslip_policy::WorkerState;
 use std::collections::HashMap;
 use std::hash::{DefaultHasher, Hash, Hasher};
--- a/heronslip/src/discovery/xds.rs
+++ b/heronslip/src/discovery/xds.rs
@@ -1,5 +1,5 @@
 //! KServe v2 workers from a file: endpoints in Envoy's xDS JSON form.
-use crate::core::{Member, Speech};
+use crate::messages::{Member, Speech};
 use heronslip_policy::json::{list, object, part, span, text, whole};
 use heronslip_policy::WorkerState;
 use miniserde::json::{Object, Value};
--- a/heronslip/src/front/fastcgi.rs
+++ b/heronslip/src/front/fastcgi.rs
@@ -1,7 +1,7 @@
 //! The platform's front: FastCGI 1.0, Responder role, many requests on one connection.
-use super::{function, token_fits, Doors, Figures, Reading};
-use crate::core::{Answer, Client, Message, Payload, Request};
+use super::{function, token_fits, Doors, Figures};
 use crate::limits::{Held, Limits};
+use crate::messages::{Answer, Client, Message, Payload, Reading, Request};
 use crate::net::{timed_out, Occupant, Outbox, Permit, Socket};
 use crate::ring::Ring;
 use may::sync::Mutex;
@@ -341,7 +341,8 @@
             self.end_at_once(id, OVERLOADED, "too many requests on one connection");
         } else {
             let (keep, held) = (flags & KEEP_CONN != 0, self.doors.budget.take(0));
-            let (since, reading, over, passed) = (Instant::now(), Reading::start(self.doors), false, 0);
+            let (since, reading, over, passed) =
+                (Instant::now(), Reading::start(&self.doors.reading), false, 0);
             let (params, body) = (Vec::new(), Vec::new());
             self.partial.insert(id, Partial { since, reading, keep, params, body, held, over, passed });
         }
--- a/heronslip/src/front/kserve.rs
+++ b/heronslip/src/front/kserve.rs
@@ -1,8 +1,8 @@
 //! The KServe v2 front: the Open Inference Protocol over HTTP/1.1 REST, on the same core as FastCGI.
-use super::{function, token_fits, Doors, Figures, Reading};
-use crate::core::{Answer, Client, Message, Payload, Request};
+use super::{function, token_fits, Doors, Figures};
 use crate::http::{response, Head};
 use crate::limits::Limits;
+use crate::messages::{Answer, Client, Message, Payload, Reading, Request};
 use crate::net::{timed_out, Occupant, Outbox, Permit, Socket};
 use crate::ring::Ring;
 use crate::worker::kserve::wrap_answer;
@@ -156,7 +156,7 @@
                 return Ok(());
             }
             while !ring.is_empty() {
-                part.get_or_insert_with(|| (Instant::now(), Reading::start(self.doors)));
+                part.get_or_insert_with(|| (Instant::now(), Reading::start(&self.doors.reading)));
                 if body.is_none() {
                     ring.take(1, &mut head);
                     if head == b"\r\n" {
@@ -299,7 +299,7 @@
         };
         match neutral(name, body, &self.doors.limits) {
             Ok(request) => {
-                let (held, reading) = (Some(held), Some(Reading::start(self.doors)));
+                let (held, reading) = (Some(held), Some(Reading::start(&self.doors.reading)));
                 let request = Request { read_at, held, reading, ..request };
                 self.side.occupant.opened();
                 let _ = self.doors.core.send(Message::Request(request, self.side.clone(), tag));
--- a/heronslip/src/front/mod.rs
+++ b/heronslip/src/front/mod.rs
@@ -2,8 +2,9 @@
 pub mod fastcgi;
 pub mod kserve;
 
-use crate::core::{Message, Shared};
+use crate::core::Shared;
 use crate::limits::{Budget, Limits};
+use crate::messages::Message;
 use crate::net::{spawn, Outbox, Permit, Permits, Socket};
 use may::net::TcpListener;
 use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
@@ -121,24 +122,6 @@
     permit
 }
 
-/// Counts a request from its first byte until the core has it, so that a planned end waits for it.
-#[derive(Debug)]
-pub struct Reading(Arc<AtomicUsize>);
-
-impl Reading {
-    /// One more.
-    pub fn start(doors: &Doors) -> Self {
-        doors.reading.fetch_add(1, Ordering::AcqRel);
-        Reading(doors.reading.clone())
-    }
-}
-
-impl Drop for Reading {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// A request's figures as a client told them; 0 where it did not.
 #[derive(Default)]
 pub struct Figures {
--- a/heronslip/src/lib.rs
+++ b/heronslip/src/lib.rs
@@ -14,12 +14,14 @@
 pub mod front;
 pub mod http;
 pub mod limits;
+pub mod messages;
 pub mod net;
 pub mod ring;
 pub mod shutdown;
 pub mod worker;
 
-use crate::core::{Core, Message, Shared, Speech};
+use crate::core::{Core, Shared};
+use crate::messages::{Message, Speech};
 use config::Config;
 use discovery::{EventError, Follower, ListEvent};
 use front::{Door, Doors};
--- a/heronslip/src/core/types.rs
+++ b/heronslip/src/messages.rs
@@ -1,8 +1,9 @@
-//! The neutral words between fronts, core and transports. No wire shows here.
-use crate::front::Reading;
+//! The messages between fronts, core, discovery and transports: requests, answers, reports and workers. No wire
+//! shows here, and nothing here depends on those who use it.
 use crate::limits::Held;
 use heronslip_policy::{FunctionId, Micros, Outcome, WorkerState};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::Instant;
 
@@ -24,6 +25,24 @@
     }
 }
 
+/// Counts a request from its first byte until the core has it, so that a planned end waits for it.
+#[derive(Debug)]
+pub struct Reading(Arc<AtomicUsize>);
+
+impl Reading {
+    /// One more on this count.
+    pub fn start(count: &Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::AcqRel);
+        Reading(count.clone())
+    }
+}
+
+impl Drop for Reading {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
 /// A client's request, read whole.
 #[derive(Debug)]
 pub struct Request {
--- a/heronslip/src/worker/frames.rs
+++ b/heronslip/src/worker/frames.rs
@@ -1,7 +1,7 @@
 //! The platform's binary frames: attempts, orders and cancels over shared connections to one worker.
 use super::{Reports, Transport};
-use crate::core::{AttemptKey, Payload, Report, Request};
 use crate::limits::Limits;
+use crate::messages::{AttemptKey, Payload, Report, Request};
 use crate::net::{connection_number, spawn, timed_out, Socket};
 use crate::ring::Ring;
 use heronslip_policy::{FunctionId, Micros, Outcome};
--- a/heronslip/src/worker/kserve.rs
+++ b/heronslip/src/worker/kserve.rs
@@ -1,9 +1,9 @@
 //! KServe v2 over HTTP/1.1 to one worker: each connection carries one exchange at a time. Loads, questions
 //! and unloads use the model repository extension.
 use super::{Reports, Transport};
-use crate::core::{AttemptKey, Payload, Report, Request};
 use crate::http::{Chunked, Coded, Head};
 use crate::limits::Limits;
+use crate::messages::{AttemptKey, Payload, Report, Request};
 use crate::net::{spawn, timed_out};
 use crate::ring::Ring;
 use base64::{engine::general_purpose::STANDARD, Engine};
--- a/heronslip/src/worker/mod.rs
+++ b/heronslip/src/worker/mod.rs
@@ -2,8 +2,8 @@
 pub mod frames;
 pub mod kserve;
 
-use crate::core::{AttemptKey, Message, Report, Request, Speech};
 use crate::limits::Limits;
+use crate::messages::{AttemptKey, Message, Report, Request, Speech};
 use heronslip_policy::{FunctionId, Micros, Outcome};
 use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
--- a/heronslip/tests/clients.rs
+++ b/heronslip/tests/clients.rs
@@ -2,7 +2,7 @@
 mod common;
 
 use common::{call, connect, doors, fastcgi, fastcgi_answer, fastcgi_front, PATIENCE};
-use heronslip::core::{Answer, Client, Message, Payload};
+use heronslip::messages::{Answer, Client, Message, Payload};
 use std::io::{Read, Write};
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::Receiver;
--- a/heronslip/tests/codecs.rs
+++ b/heronslip/tests/codecs.rs
@@ -1,7 +1,7 @@
 //! Readers of the wires, fed by hand.
-use heronslip::core::Speech;
 use heronslip::discovery::endpoints;
 use heronslip::http::{Chunked, Coded, Head};
+use heronslip::messages::Speech;
 use heronslip::ring::Ring;
 use heronslip::worker::frames::Decoder;
 use heronslip_policy::json::{object, parse};
--- a/heronslip/tests/common/mod.rs
+++ b/heronslip/tests/common/mod.rs
@@ -34,9 +34,9 @@
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::Arc;
 
-use heronslip::core::Message;
 use heronslip::front::{accept, Door, Doors};
 use heronslip::limits::{Budget, Limits};
+use heronslip::messages::Message;
 use heronslip::net::Permits;
 use std::time::{Duration, Instant};
 
--- a/heronslip/tests/ending.rs
+++ b/heronslip/tests/ending.rs
@@ -2,8 +2,8 @@
 mod common;
 
 use common::{connect, doors, fastcgi, fastcgi_front, PATIENCE};
-use heronslip::core::Message;
 use heronslip::front::{accept, Door, Doors};
+use heronslip::messages::Message;
 use heronslip::net::{spawn, Permit, Socket};
 use may::net::TcpListener;
 use std::io::{Read, Write};
--- a/heronslip/tests/leaving.rs
+++ b/heronslip/tests/leaving.rs
@@ -2,8 +2,8 @@
 mod common;
 
 use common::{call, connect, fastcgi_answer, frame, Hand, Plan, Received, Stage, PATIENCE};
-use heronslip::core::{AttemptKey, Payload, Request};
 use heronslip::limits::Limits;
+use heronslip::messages::{AttemptKey, Payload, Request};
 use heronslip::worker::{frames::Frames, Reports, Transport};
 use std::collections::BTreeSet;
 use std::io::{Read, Write};
--- a/heronslip/tests/list_events.rs
+++ b/heronslip/tests/list_events.rs
@@ -1,8 +1,8 @@
 //! Readers of the board's stream and list, fed by hand, byte by byte.
-use heronslip::core::Member;
 use heronslip::discovery::event_stream::{EventStream, StreamItem};
 use heronslip::discovery::json_array::ScanError;
 use heronslip::discovery::{EventBounds, EventError, EventReader, Table};
+use heronslip::messages::Member;
 use heronslip_policy::WorkerState;
 use rstest::rstest;
 
--- a/heronslip/tests/transport.rs
+++ b/heronslip/tests/transport.rs
@@ -1,6 +1,6 @@
 //! The transport of frames against sockets: what it writes, and when it lets connections go.
-use heronslip::core::{AttemptKey, Message, Payload, Request};
 use heronslip::limits::Limits;
+use heronslip::messages::{AttemptKey, Message, Payload, Request};
 use heronslip::worker::frames::{encode, Frames, Outgoing, Withheld};
 use heronslip::worker::{Reports, Transport};
 use heronslip_policy::{Outcome, Settings};
