Test the slopes of state and messages, and call the board in fleets with the program's own back-off

Hollow front ends that were cut off from the board call it as the program does: its silence, its time for a connect, its waits.

--- a/scale/src/bounds.rs
+++ b/scale/src/bounds.rs
@@ -10,8 +10,8 @@
 
 /// Bytes of a front end's module for each worker it knows: its record, its name twice, its place in the lists.
 const BYTES_A_WORKER: f64 = 1_000.0;
-/// Bytes for each function that a module remembers, and for each worker in that function's order.
-const BYTES_A_FUNCTION: (f64, f64) = (2_500.0, 8.0);
+/// Bytes for each function that a module remembers: its record, the copies it knows of, the head of its order.
+const BYTES_A_FUNCTION: f64 = 5_000.0;
 /// Bytes of a real front end beside that: program, rings and stacks of its connections.
 const BYTES_A_PROCESS: f64 = 24e6;
 /// Bytes of the tool's own world for each worker and function.
@@ -47,7 +47,7 @@
     let calls = experiment.calls.per_front_end_s * span;
     let live: f64 = (0..catalogue.functions.len()).map(|r| 1.0 - (-calls * catalogue.share(r)).exp()).sum();
     let workers = f64::from(experiment.fleet.workers);
-    workers * BYTES_A_WORKER + live * (BYTES_A_FUNCTION.0 + workers * BYTES_A_FUNCTION.1)
+    workers * BYTES_A_WORKER + live * BYTES_A_FUNCTION
 }
 
 fn world_bytes(experiment: &Experiment) -> f64 {
--- a/scale/src/fleet/engine.rs
+++ b/scale/src/fleet/engine.rs
@@ -9,6 +9,8 @@
 };
 use crate::time::{milliseconds, seconds, VirtualClock, SECOND};
 use crate::world::{Change, List, ListEvent, Reply, Schedule, Timed, World};
+use heronslip::discovery::backoff::Backoff;
+use heronslip::limits::Limits;
 use heronslip_policy::{Micros, Settings};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -21,8 +23,8 @@
 const EPOCH: Micros = 1_000 * SECOND;
 /// How long after the last call the run goes on, so that all calls end.
 const AFTER: Micros = 10 * SECOND;
-/// Wait before the board is called again.
-const BOARD_RETRY: Micros = 100_000;
+/// Descriptor and memory limits of a front end, for the times that its program works out from them.
+const LIMITS: (u64, u64) = (192, 1_024);
 /// Width of the buckets in which the board's load is counted.
 const BUCKET: Micros = 100_000;
 /// Bytes of an order's or a question's frame and its answer, by the wire's form.
@@ -52,7 +54,8 @@
 /// How a front end stands with the board.
 #[derive(Clone, Copy, Default)]
 struct Watch {
-    cut: bool,
+    /// Since when it hears nothing of the board.
+    cut: Option<Micros>,
     /// The number of the last event on its way to it or there.
     told: u64,
     /// When that arrives.
@@ -91,6 +94,8 @@
     book: CallBook,
     board: BoardLoad,
     list_bytes: u64,
+    /// Calls of the board that came to nothing.
+    failed_calls: u64,
     /// Times from a heal of the board's link until a front end is connected again.
     heals: Times,
     most_connections: Vec<u32>,
@@ -123,6 +128,7 @@
             known: Times::default(),
             board: BoardLoad::default(),
             list_bytes: 0,
+            failed_calls: 0,
             heals: Times::default(),
             most_connections: Vec::new(),
             experiment,
@@ -206,7 +212,7 @@
         let list = Arc::new(self.list.whole());
         for &n in which {
             self.front_ends[n].start(now, self.list.last(), list.clone());
-            self.watches[n] = Watch { cut: self.watches[n].cut, told: self.list.last(), last_at: now };
+            self.watches[n] = Watch { told: self.list.last(), last_at: now, ..self.watches[n] };
             // What a process is told at its start comes with its configuration, not from the board.
             self.board.called(now, 0);
         }
@@ -239,7 +245,7 @@
                 let event = self.list.replaced(now, &which);
                 self.tell(now, &event);
             }
-            Change::BoardCut(which) => which.into_iter().for_each(|n| self.watches[n].cut = true),
+            Change::BoardCut(which) => which.into_iter().for_each(|n| self.watches[n].cut = Some(now)),
             Change::BoardHealed(which) => which.into_iter().for_each(|n| self.heal(now, n)),
         }
     }
@@ -251,7 +257,7 @@
         for n in 0..self.front_ends.len() {
             let late = milliseconds(least + (most - least) * self.random.random::<f64>());
             let watch = &mut self.watches[n];
-            if watch.cut || !self.front_ends[n].is_up() {
+            if watch.cut.is_some() || !self.front_ends[n].is_up() {
                 continue;
             }
             watch.last_at = watch.last_at.max(now + late);
@@ -286,11 +292,11 @@
 
     /// The board can be reached again: the front end calls it at its next try and is told what it missed.
     fn heal(&mut self, now: Micros, n: usize) {
-        self.watches[n].cut = false;
+        let cut = self.watches[n].cut.take();
         if !self.front_ends[n].is_up() {
             return;
         }
-        let back = self.next_try(now, n);
+        let back = self.next_call(n, cut.unwrap_or(now), now);
         let watch = self.watches[n];
         match self.list.since(watch.told) {
             Some(missed) => {
@@ -306,14 +312,25 @@
                 self.front_ends[n].put(back, Incoming::Whole(self.list.last(), whole));
             }
         }
-        self.watches[n] = Watch { cut: false, told: self.list.last(), last_at: back };
+        self.watches[n] = Watch { cut: None, told: self.list.last(), last_at: back };
         self.heals.add(back.saturating_sub(now));
     }
 
-    /// When a front end that was cut off calls the board for the first time after `heal`.
-    fn next_try(&mut self, heal: Micros, _n: usize) -> Micros {
-        // The retry's fixed wait: where each stands in it at the heal is chance.
-        heal + self.random.random_range(0..BOARD_RETRY)
+    /// When a front end that was cut off calls the board for the first time after the heal: its program notices the
+    /// silence, and calls that hang until the program gives each up, with the program's own waits between them.
+    fn next_call(&mut self, n: usize, cut: Micros, heal: Micros) -> Micros {
+        let limits = Limits::new(LIMITS.0, LIMITS.1, &self.settings);
+        let micros = |span: std::time::Duration| span.as_micros() as Micros;
+        let mut backoff = Backoff::new(limits.board_retry, limits.board_retry_most, self.random.random());
+        let hangs = micros(limits.connect.min(limits.board_silence / 2));
+        // Where in the board's comments the cut came is chance.
+        let mut at = cut + micros(limits.board_silence) - self.random.random_range(0..SECOND);
+        while at < heal {
+            self.failed_calls += 1;
+            // One that hangs over the heal does too: its first packet is lost, and it ends before the next.
+            at += hangs + micros(backoff.wait());
+        }
+        at + 2 * self.way(n, 0)
     }
 
     /// Front ends connected to each worker: those that sent it something within the idle time of connections.
@@ -389,6 +406,7 @@
             board: BoardReport {
                 known_everywhere: self.known.quantiles(),
                 reconnected: self.heals.quantiles(),
+                failed_calls: self.failed_calls,
                 resumed: self.board.resumed,
                 whole_lists: self.board.whole_lists,
                 peak_calls_s: peak(&self.board.calls),
--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -132,6 +132,8 @@
     pub known_everywhere: Quantiles,
     /// From the end of a cut until a front end is connected again.
     pub reconnected: Quantiles,
+    /// Calls of the board that came to nothing while it was cut off.
+    pub failed_calls: u64,
     /// Reconnects that were told what they had missed only.
     pub resumed: u64,
     /// Reconnects that were told the whole list.
--- /dev/null
+++ b/scale/tests/common/mod.rs
@@ -0,0 +1,32 @@
+//! Runs of small experiments.
+use heronslip_scale::experiment::{Experiment, Failure};
+use heronslip_scale::report::FleetReport;
+use heronslip_scale::{fleet, node};
+use std::path::Path;
+
+/// The sample experiment of the repository.
+pub fn sample() -> Experiment {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments/small.toml");
+    Experiment::read(&path).expect("the sample is sound")
+}
+
+/// Failures of the sample, one a second from 2 s on, each a second long.
+#[allow(dead_code)]
+pub fn short_failures() -> Vec<Failure> {
+    let mut failures = sample().failure;
+    for (n, failure) in failures.iter_mut().enumerate() {
+        (failure.at_s, failure.for_s) = (2.0 + n as f64, failure.for_s.map(|_| 1.0));
+    }
+    failures
+}
+
+/// A short run of four front ends and forty workers without failures, changed as a test wants it.
+pub fn play(change: impl FnOnce(&mut Experiment)) -> FleetReport {
+    let mut experiment = sample();
+    (experiment.duration_s, experiment.warm_up_s) = (8.0, 2.0);
+    (experiment.fleet.front_ends, experiment.fleet.workers) = (4, 40);
+    experiment.failure.clear();
+    change(&mut experiment);
+    let (settings, _) = node::settings(&experiment).expect("the sample's settings are sound");
+    fleet::run(&experiment, settings)
+}
--- a/scale/tests/fleet.rs
+++ b/scale/tests/fleet.rs
@@ -1,34 +1,14 @@
 //! Hollow fleets: the same result each time, and what the world does.
-use heronslip_scale::experiment::Experiment;
-use heronslip_scale::report::FleetReport;
-use heronslip_scale::{fleet, node};
-use std::path::Path;
-
-/// A small experiment, changed as a test wants it.
-fn play(change: impl FnOnce(&mut Experiment)) -> FleetReport {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments/small.toml");
-    let mut experiment = Experiment::read(&path).expect("the sample is sound");
-    (experiment.duration_s, experiment.warm_up_s) = (8.0, 2.0);
-    (experiment.fleet.front_ends, experiment.fleet.workers) = (4, 40);
-    experiment.failure.clear();
-    change(&mut experiment);
-    let (settings, _) = node::settings(&experiment).expect("the sample's settings are sound");
-    fleet::run(&experiment, settings)
-}
+mod common;
 
-fn with_failures(experiment: &mut Experiment) {
-    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("experiments/small.toml");
-    experiment.failure = Experiment::read(&path).expect("the sample is sound").failure;
-    for (n, failure) in experiment.failure.iter_mut().enumerate() {
-        (failure.at_s, failure.for_s) = (2.0 + n as f64, failure.for_s.map(|_| 1.0));
-    }
-}
+use common::{play, short_failures};
+use heronslip_scale::report::FleetReport;
 
 #[test]
 fn the_same_file_and_seed_give_the_same_result() {
     let text = |seed| {
         let report = play(|e| {
-            with_failures(e);
+            e.failure = short_failures();
             e.seed = seed;
         });
         report.virtual_part().expect("JSON")
@@ -42,7 +22,7 @@
 
 #[test]
 fn every_call_ends_in_one_way() {
-    let counts = play(with_failures).calls.counts;
+    let counts = play(|e| e.failure = short_failures()).calls.counts;
     let ended = counts.served_in_time + counts.served_late + counts.refused + counts.failed + counts.lost;
     assert_eq!(counts.asked, ended);
     assert!(counts.asked > 1_500 && counts.lost > 0, "{counts:?}");
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -339,3 +339,58 @@
     }
     assert!(seen.contains(&left), "{left} is not in {seen:?}");
 }
+
+/// Functions of the past are forgotten, whatever their number, and with them all that was known of them at workers.
+#[test]
+fn nothing_is_kept_of_functions_that_are_not_called_any_more() {
+    let mut rig = Rig::new(many(200), 60);
+    let mut kept = Vec::new();
+    for round in 0..3u64 {
+        for n in 0..500 {
+            let id = 1 + round * 500 + n;
+            let mut out = call(&mut rig, id, 10_000 + id, 0);
+            while let Some(action) = out.pop() {
+                if let Action::Load { worker, function, .. } = action {
+                    out.extend(rig.loaded(&worker, function, 1, Outcome::Ok));
+                }
+            }
+            answer(&mut rig, id, Outcome::Ok, 50 * MS, None);
+        }
+        kept.push(rig.c.footprint().functions);
+        rig.now += 60 * SEC;
+        rig.pass(SEC);
+        let left = rig.c.footprint();
+        assert_eq!((left.functions, left.copies, left.preferences, left.requests), (0, 0, 0, 0));
+    }
+    assert_eq!(kept, [500, 500, 500]);
+}
+
+/// Workers that come take the slots of those that left, and the head of each function's order stays what all gateways
+/// would work out anew.
+#[test]
+fn replaced_workers_leave_no_records_and_the_order_is_the_same_for_all() {
+    let mut rig = Rig::new(many(200), 200);
+    warm_all(&mut rig, 1, 7);
+    let name = |n: usize, round: usize| format!("w{n}-{round}");
+    let entry = |worker: String, state| Entry { worker, state, ..entry(0) };
+    let old = |n: usize, round: usize| if round == 0 { format!("w{n}") } else { name(n, round - 1) };
+    for round in 0..5 {
+        for n in 0..200 {
+            let entries =
+                vec![entry(old(n, round), WorkerState::Gone), entry(name(n, round), WorkerState::Ready)];
+            rig.feed(Event::Members { full: false, entries });
+        }
+    }
+    let kept = rig.c.footprint().workers;
+    assert!(kept <= 210, "{kept} records for 200 workers");
+    let mut fresh = Rig::new(many(200), 0);
+    let entries = (0..200).map(|n| entry(name(n, 4), WorkerState::Ready)).collect();
+    fresh.feed(Event::Members { full: true, entries });
+    rig.pass(10 * SEC);
+    let asked = |rig: &mut Rig, id| {
+        let mut asked = loads(&call(rig, id, 7, 0), 0);
+        asked.sort();
+        asked
+    };
+    assert_eq!(asked(&mut rig, 2), asked(&mut fresh, 2));
+}
