--- a/heronslip/src/front/fastcgi.rs
+++ b/heronslip/src/front/fastcgi.rs
@@ -1,5 +1,5 @@
 //! The platform's front: FastCGI 1.0, Responder role, many requests on one connection.
-use super::{function, token_fits, Doors, Figures};
+use super::{function, token_fits, Figures, FrontContext};
 use crate::limits::{Held, Limits};
 use crate::messages::{Answer, Client, Message, Payload, Reading, Request};
 use crate::net::{timed_out, Occupant, Outbox, Permit, Socket};
@@ -154,25 +154,25 @@
 }
 
 /// Serves one connection until it ends.
-pub fn serve(stream: Socket, doors: &Doors, permit: Permit) {
+pub fn serve(stream: Socket, context: &FrontContext, permit: Permit) {
     let peer = stream.peer_addr().map_or("?".to_owned(), |p| p.to_string());
     let permit = Arc::new(permit);
-    let out = match doors.outbox(stream.clone(), permit.clone()) {
+    let out = match context.outbox(stream.clone(), permit.clone()) {
         Ok(out) => out,
         Err(e) => return note!("fastcgi {peer}: closed: {e}"),
     };
     permit.occupant.writes_to(&out);
     let side = Arc::new(Side { occupant: permit.occupant.clone(), out, live: Mutex::default() });
-    let mut reader = Reader { doors, side: side.clone(), partial: HashMap::new(), uses: 0, stray: 0 };
+    let mut reader = Reader { context, side: side.clone(), partial: HashMap::new(), uses: 0, stray: 0 };
     if let Err(why) = reader.run(stream) {
         note!("fastcgi {peer}: connection closed: {why}");
     }
-    let _ = doors.core.send(Message::Hangup(permit.occupant.number)); // the core only ends with the program
+    let _ = context.core.send(Message::Hangup(permit.occupant.number)); // the core only ends with the program
     side.out.close();
 }
 
 struct Reader<'a> {
-    doors: &'a Doors,
+    context: &'a FrontContext,
     side: Arc<Side>,
     partial: HashMap<u16, Partial>,
     uses: u64,
@@ -182,7 +182,7 @@
 
 impl Reader<'_> {
     fn run(&mut self, mut stream: Socket) -> Result<(), String> {
-        let limits = self.doors.limits.clone();
+        let limits = self.context.limits.clone();
         stream.set_read_timeout(limits.client_check).map_err(|e| e.to_string())?;
         let mut ring = Ring::new(limits.client_ring);
         let mut got = Vec::new();
@@ -277,7 +277,7 @@
     fn pass_over(&mut self, id: u16, bytes: usize) -> Result<(), String> {
         let passed = self.partial.get_mut(&id).map_or(&mut self.stray, |p| &mut p.passed);
         *passed += bytes;
-        (*passed <= self.doors.limits.discard).then_some(()).ok_or("a request without end".to_owned())
+        (*passed <= self.context.limits.discard).then_some(()).ok_or("a request without end".to_owned())
     }
 
     fn take(&mut self, kind: u8, id: u16, content: &[u8]) -> Result<(), String> {
@@ -301,9 +301,9 @@
         let mut found = Vec::new();
         for (name, _) in pairs(content) {
             let value = match name.as_str() {
-                "FCGI_MAX_CONNS" => self.doors.limits.client_connections,
+                "FCGI_MAX_CONNS" => self.context.limits.client_connections,
                 "FCGI_MAX_REQS" => {
-                    self.doors.limits.client_connections * self.doors.limits.requests_per_connection
+                    self.context.limits.client_connections * self.context.limits.requests_per_connection
                 }
                 "FCGI_MPXS_CONNS" => 1,
                 _ => continue,
@@ -337,12 +337,12 @@
         self.partial.remove(&id);
         if u16::from_be_bytes([*r0, *r1]) != RESPONDER {
             self.end_at_once(id, UNKNOWN_ROLE, "role");
-        } else if open >= self.doors.limits.requests_per_connection {
+        } else if open >= self.context.limits.requests_per_connection {
             self.end_at_once(id, OVERLOADED, "too many requests on one connection");
         } else {
-            let (keep, held) = (flags & KEEP_CONN != 0, self.doors.budget.take(0));
+            let (keep, held) = (flags & KEEP_CONN != 0, self.context.budget.take(0));
             let (since, reading, over, passed) =
-                (Instant::now(), Reading::start(&self.doors.reading), false, 0);
+                (Instant::now(), Reading::start(&self.context.reading), false, 0);
             let (params, body) = (Vec::new(), Vec::new());
             self.partial.insert(id, Partial { since, reading, keep, params, body, held, over, passed });
         }
@@ -355,12 +355,12 @@
         if let Some((used, _)) = live.remove(&id) {
             let tag = used << 16 | u64::from(id);
             self.side.occupant.ended(false);
-            let _ = self.doors.core.send(Message::Withdrawn(self.side.occupant.number, tag));
+            let _ = self.context.core.send(Message::Withdrawn(self.side.occupant.number, tag));
         }
     }
 
     fn params(&mut self, id: u16, content: &[u8]) -> Result<(), String> {
-        let most = self.doors.limits.head;
+        let most = self.context.limits.head;
         let Some(partial) = self.partial.get_mut(&id).filter(|p| !p.over) else {
             return self.pass_over(id, content.len());
         };
@@ -372,7 +372,7 @@
     }
 
     fn stdin(&mut self, id: u16, content: &[u8]) -> Result<(), String> {
-        let most = self.doors.limits.body;
+        let most = self.context.limits.body;
         if content.is_empty() {
             if let Some(partial) = self.partial.remove(&id).filter(|p| !p.over) {
                 self.whole(id, partial);
@@ -398,7 +398,7 @@
         let path = if word("SCRIPT_NAME").is_empty() { word("REQUEST_URI") } else { word("SCRIPT_NAME") };
         let close = !partial.keep;
         if path == "/healthz" {
-            let ready = self.doors.shared.ready.load(Ordering::Acquire);
+            let ready = self.context.shared.ready.load(Ordering::Acquire);
             let status = if ready { "200 OK" } else { "503 Service Unavailable" };
             self.side.out.send(response(id, &format!("Status: {status}\r\n"), &[]));
             self.side.occupant.heard();
@@ -407,7 +407,7 @@
             }
             return;
         }
-        let request = neutral(path, &word, partial.body, &self.doors.limits);
+        let request = neutral(path, &word, partial.body, &self.context.limits);
         let (held, reading) = (partial.held, Some(partial.reading));
         match request.map(|r| Request { read_at, held, ..r }) {
             Err(why) => self.refuse(id, Fault::Bad(why), close),
@@ -419,7 +419,7 @@
                 let tag = self.uses << 16 | u64::from(id);
                 self.side.occupant.opened();
                 let request = Request { reading, ..request };
-                let _ = self.doors.core.send(Message::Request(request, self.side.clone(), tag));
+                let _ = self.context.core.send(Message::Request(request, self.side.clone(), tag));
             }
         }
     }
--- a/heronslip/src/front/kserve.rs
+++ b/heronslip/src/front/kserve.rs
@@ -1,5 +1,5 @@
 //! The KServe v2 front: the Open Inference Protocol over HTTP/1.1 REST, on the same core as FastCGI.
-use super::{function, token_fits, Doors, Figures};
+use super::{function, token_fits, Figures, FrontContext};
 use crate::http::{response, Head};
 use crate::limits::Limits;
 use crate::messages::{Answer, Client, Message, Payload, Reading, Request};
@@ -85,31 +85,31 @@
 }
 
 /// Serves one v2 client connection until it ends.
-pub fn serve(stream: Socket, doors: &Doors, permit: Permit) {
-    connection(stream, doors, permit, "kserve", |reader, tag, head, body| reader.kserve(tag, head, body));
+pub fn serve(stream: Socket, context: &FrontContext, permit: Permit) {
+    connection(stream, context, permit, "kserve", |reader, tag, head, body| reader.kserve(tag, head, body));
 }
 
 /// Serves one connection of the read-only administration API.
-pub fn serve_admin(stream: Socket, doors: &Doors, permit: Permit) {
-    connection(stream, doors, permit, "admin", |reader, tag, head, body| reader.admin(tag, head, body));
+pub fn serve_admin(stream: Socket, context: &FrontContext, permit: Permit) {
+    connection(stream, context, permit, "admin", |reader, tag, head, body| reader.admin(tag, head, body));
 }
 
 type Handle = fn(&Reader<'_>, u64, &Head, Vec<u8>) -> Reply;
 
-fn connection(stream: Socket, doors: &Doors, permit: Permit, front: &'static str, handle: Handle) {
+fn connection(stream: Socket, context: &FrontContext, permit: Permit, front: &'static str, handle: Handle) {
     let peer = stream.peer_addr().map_or("?".to_owned(), |p| p.to_string());
     let permit = Arc::new(permit);
-    let out = match doors.outbox(stream.clone(), permit.clone()) {
+    let out = match context.outbox(stream.clone(), permit.clone()) {
         Ok(out) => out,
         Err(e) => return note!("{front} {peer}: closed: {e}"),
     };
     permit.occupant.writes_to(&out);
     let side = Arc::new(Side { occupant: permit.occupant.clone(), out, slots: Mutex::default() });
-    let reader = Reader { doors, side: side.clone(), handle };
+    let reader = Reader { context, side: side.clone(), handle };
     if let Err(why) = reader.run(stream) {
         note!("{front} {peer}: connection closed: {why}");
     }
-    let _ = doors.core.send(Message::Hangup(permit.occupant.number)); // the core only ends with the program
+    let _ = context.core.send(Message::Hangup(permit.occupant.number)); // the core only ends with the program
     side.out.close();
 }
 
@@ -126,14 +126,14 @@
 }
 
 struct Reader<'a> {
-    doors: &'a Doors,
+    context: &'a FrontContext,
     side: Arc<Side>,
     handle: Handle,
 }
 
 impl Reader<'_> {
     fn run(&self, mut stream: Socket) -> Result<(), String> {
-        let limits = &self.doors.limits;
+        let limits = &self.context.limits;
         let (mut ring, mut head, mut tag) = (Ring::new(limits.client_ring), Vec::new(), 0u64);
         let mut body: Option<(Head, Vec<u8>)> = None;
         let mut part: Option<(Instant, Reading)> = None; // of a request that has not come whole
@@ -156,7 +156,7 @@
                 return Ok(());
             }
             while !ring.is_empty() {
-                part.get_or_insert_with(|| (Instant::now(), Reading::start(&self.doors.reading)));
+                part.get_or_insert_with(|| (Instant::now(), Reading::start(&self.context.reading)));
                 if body.is_none() {
                     ring.take(1, &mut head);
                     if head == b"\r\n" {
@@ -228,7 +228,7 @@
     fn whole(&self, tag: u64, head: &Head, body: Vec<u8>) -> Result<(), String> {
         {
             let mut slots = self.side.slots.lock().map_err(|_| "poisoned")?;
-            if slots.len() >= self.doors.limits.requests_per_connection {
+            if slots.len() >= self.context.limits.requests_per_connection {
                 return Err("too many requests on one connection".to_owned());
             }
             slots.push_back(Slot { tag, close: head.close, ready: None });
@@ -242,7 +242,7 @@
     }
 
     fn ready(&self) -> bool {
-        self.doors.shared.ready.load(Ordering::Acquire)
+        self.context.shared.ready.load(Ordering::Acquire)
     }
 
     fn kserve(&self, tag: u64, head: &Head, body: Vec<u8>) -> Reply {
@@ -293,16 +293,16 @@
 
     fn infer(&self, tag: u64, name: &str, body: Vec<u8>) -> Reply {
         let read_at = Instant::now();
-        let Some(held) = self.doors.budget.take(body.len()) else {
+        let Some(held) = self.context.budget.take(body.len()) else {
             note!("kserve: request refused: the bytes held over all requests are at their bound");
             return refuse("503 Service Unavailable", "too many bytes are held");
         };
-        match neutral(name, body, &self.doors.limits) {
+        match neutral(name, body, &self.context.limits) {
             Ok(request) => {
-                let (held, reading) = (Some(held), Some(Reading::start(&self.doors.reading)));
+                let (held, reading) = (Some(held), Some(Reading::start(&self.context.reading)));
                 let request = Request { read_at, held, reading, ..request };
                 self.side.occupant.opened();
-                let _ = self.doors.core.send(Message::Request(request, self.side.clone(), tag));
+                let _ = self.context.core.send(Message::Request(request, self.side.clone(), tag));
                 Reply::Later
             }
             Err(why) => {
@@ -319,7 +319,7 @@
             ("GET", "/healthz") => Reply::Now("503 Service Unavailable", b"{\"ready\":false}".to_vec()),
             ("GET", "/v1/state") => {
                 let (ask, answer) = may::sync::mpsc::channel();
-                let _ = self.doors.core.send(Message::Inspect(ask));
+                let _ = self.context.core.send(Message::Inspect(ask));
                 match answer.recv() {
                     Ok(state) => Reply::Now("200 OK", state.into_bytes()),
                     Err(_) => refuse("503 Service Unavailable", "the core is ending"),
--- a/heronslip/src/front/mod.rs
+++ b/heronslip/src/front/mod.rs
@@ -18,7 +18,7 @@
 
 /// What every front needs.
 #[derive(Clone)]
-pub struct Doors {
+pub struct FrontContext {
     /// The core's queue.
     pub core: Sender<Message>,
     /// All limits.
@@ -37,7 +37,7 @@
     pub closing: Arc<AtomicBool>,
 }
 
-impl Doors {
+impl FrontContext {
     /// Starts the writer of a client connection.
     pub fn outbox(&self, stream: Socket, permit: Arc<Permit>) -> std::io::Result<Outbox> {
         Outbox::start(stream, permit, &self.limits, &self.budget, &self.unsent)
@@ -46,16 +46,16 @@
 
 /// A listener, and whether its coroutine waits for the next connection.
 #[derive(Clone)]
-pub struct Door {
+pub struct Acceptor {
     /// The listener.
     pub listener: Arc<TcpListener>,
     waits: Arc<AtomicBool>,
 }
 
-impl Door {
+impl Acceptor {
     /// Nothing has been accepted yet.
     pub fn new(listener: TcpListener) -> Self {
-        Door { listener: Arc::new(listener), waits: Arc::default() }
+        Acceptor { listener: Arc::new(listener), waits: Arc::default() }
     }
 
     /// Whether all that has connected has been taken in: the system has none waiting, and none is in hand.
@@ -68,21 +68,25 @@
 }
 
 /// Accepts connections until the listeners close, each served by a coroutine of its own.
-pub fn accept(door: &Door, doors: &Doors, front: &'static str, serve: fn(Socket, &Doors, Permit)) {
+pub fn accept(
+    acceptor: &Acceptor, context: &FrontContext, front: &'static str,
+    serve: fn(Socket, &FrontContext, Permit),
+) {
     loop {
-        door.waits.store(true, Ordering::Release);
-        let accepted = door.listener.accept();
-        door.waits.store(false, Ordering::Release);
+        acceptor.waits.store(true, Ordering::Release);
+        let accepted = acceptor.listener.accept();
+        acceptor.waits.store(false, Ordering::Release);
         match accepted {
             Ok((stream, peer)) => {
                 // Guards the descriptors that workers and the board need.
-                let Some(permit) = permit(doors) else {
+                let Some(permit) = permit(context) else {
                     note!("{front}: connection of {peer} closed, all client connections are taken");
                     continue;
                 };
-                let inside = doors.clone();
+                let inside = context.clone();
                 let _ = stream.set_nodelay(true); // a connection without it is only slower
-                if let Err(e) = spawn(doors.limits.stack, move || serve(Socket::new(stream), &inside, permit))
+                if let Err(e) =
+                    spawn(context.limits.stack, move || serve(Socket::new(stream), &inside, permit))
                 {
                     note!("{front}: connection of {peer} closed: {e}");
                 }
@@ -90,8 +94,8 @@
                 // all stand here as if they had nothing to say.
                 may::coroutine::yield_now();
             }
-            Err(e) if doors.closing.load(Ordering::Acquire) && !exhausted(&e) => {
-                door.waits.store(true, Ordering::Release);
+            Err(e) if context.closing.load(Ordering::Acquire) && !exhausted(&e) => {
+                acceptor.waits.store(true, Ordering::Release);
                 return;
             }
             Err(e) => {
@@ -110,14 +114,14 @@
 }
 
 /// A permit, if need be one that others give up.
-fn permit(doors: &Doors) -> Option<Permit> {
-    let mut permit = doors.permits.take();
+fn permit(context: &FrontContext) -> Option<Permit> {
+    let mut permit = context.permits.take();
     for _ in 0..PERMIT_TRIES {
-        if permit.is_some() || !doors.permits.clear() {
+        if permit.is_some() || !context.permits.clear() {
             break;
         }
         may::coroutine::sleep(Duration::from_millis(1)); // those that were told to close do so meanwhile
-        permit = doors.permits.take();
+        permit = context.permits.take();
     }
     permit
 }
--- a/heronslip/src/lib.rs
+++ b/heronslip/src/lib.rs
@@ -24,7 +24,7 @@
 use crate::messages::{Message, Speech};
 use config::Config;
 use discovery::{EventError, Follower, ListEvent};
-use front::{Door, Doors};
+use front::{Acceptor, FrontContext};
 use limits::Budget;
 use may::net::TcpListener;
 use std::net::SocketAddr;
@@ -37,7 +37,7 @@
     net::schedule(&limits);
     let (queue, inbox) = mpsc::channel();
     let shared = Arc::new(Shared::default());
-    let doors = Doors {
+    let context = FrontContext {
         core: queue.clone(),
         limits: limits.clone(),
         budget: Budget::new(limits.held_bytes),
@@ -63,7 +63,7 @@
     let (own, within, seed) = (board.clone(), limits.clone(), config.seed);
     net::spawn(limits.stack, move || discovery::follow(&own, follower, &within, seed))
         .map_err(|e| format!("board: {e}"))?;
-    let main = listen(config.listen, &doors, "fastcgi", front::fastcgi::serve)?;
+    let main = listen(config.listen, &context, "fastcgi", front::fastcgi::serve)?;
     announce(&config.name, &main);
     let mut listeners = vec![main];
     if let Some(kserve) = config.kserve {
@@ -71,16 +71,16 @@
             let members = discovery::endpoints(endpoints).map_err(|e| format!("endpoints: {e}"))?;
             let _ = queue.send(Message::Members { source: Speech::Kserve, full: true, members });
         }
-        let front = listen(kserve.listen, &doors, "kserve", front::kserve::serve)?;
+        let front = listen(kserve.listen, &context, "kserve", front::kserve::serve)?;
         announce("KServe v2", &front);
         listeners.push(front);
         if let Some(admin) = kserve.admin {
-            let front = listen(admin, &doors, "admin", front::kserve::serve_admin)?;
+            let front = listen(admin, &context, "admin", front::kserve::serve_admin)?;
             announce("administration", &front);
             listeners.push(front);
         }
     }
-    shutdown::wait(signals, &listeners, &doors, &board)
+    shutdown::wait(signals, &listeners, &context, &board)
 }
 
 /// Takes over the events that the configuration tells. What could not be read is asked for again: the board tells
@@ -100,18 +100,19 @@
     follower
 }
 
-fn announce(name: &str, door: &Door) {
-    let address = door.listener.local_addr().map_or("?".to_owned(), |a| a.to_string());
+fn announce(name: &str, acceptor: &Acceptor) {
+    let address = acceptor.listener.local_addr().map_or("?".to_owned(), |a| a.to_string());
     log!("start: {name} listens on {address}");
 }
 
 fn listen(
-    address: SocketAddr, doors: &Doors, name: &'static str, serve: fn(net::Socket, &Doors, net::Permit),
-) -> Result<Door, String> {
+    address: SocketAddr, context: &FrontContext, name: &'static str,
+    serve: fn(net::Socket, &FrontContext, net::Permit),
+) -> Result<Acceptor, String> {
     let listener = TcpListener::bind(address).map_err(|e| format!("{address}: {e}"))?;
-    let (door, doors) = (Door::new(listener), doors.clone());
-    let inside = door.clone();
-    let accept = move || front::accept(&inside, &doors, name, serve);
+    let (acceptor, context) = (Acceptor::new(listener), context.clone());
+    let inside = acceptor.clone();
+    let accept = move || front::accept(&inside, &context, name, serve);
     net::spawn(64 * 1024, accept).map_err(|e| format!("{address}: {e}"))?;
-    Ok(door)
+    Ok(acceptor)
 }
--- a/heronslip/src/shutdown.rs
+++ b/heronslip/src/shutdown.rs
@@ -2,7 +2,7 @@
 //! then it ends once nothing is open.
 use crate::config::Config;
 use crate::discovery::Board;
-use crate::front::{Door, Doors};
+use crate::front::{Acceptor, FrontContext};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
 use std::net::Shutdown;
@@ -16,7 +16,7 @@
 /// Serves SIGHUP until SIGTERM or SIGINT comes, then waits for the end of what is open. Returns when the
 /// program may exit.
 pub fn wait(
-    mut signals: Signals, listeners: &[Door], doors: &Doors, board: &Arc<Board>,
+    mut signals: Signals, listeners: &[Acceptor], context: &FrontContext, board: &Arc<Board>,
 ) -> Result<(), String> {
     let (stop, stopped) = channel();
     let board = board.clone();
@@ -36,22 +36,22 @@
         .spawn(serve)
         .map_err(|e| format!("signals thread: {e}"))?;
     stopped.recv().map_err(|_| "the signals' thread ended")?;
-    let limits = &doors.limits;
+    let limits = &context.limits;
     log!("stop: signal; listening for {} ms more", limits.stop_listening.as_millis());
     // The front goes on sending for a while: what comes in that time is owed an answer like any other.
     std::thread::sleep(limits.stop_listening);
-    close(listeners, doors);
+    close(listeners, context);
     let since = Instant::now();
     let mut quiet = 0;
     // Twice quiet, so that an answer on its way from core to writer is counted by one of them.
     while quiet < 2 && since.elapsed() < limits.stop_at_last {
-        let open = doors.shared.open.load(Ordering::Acquire) + doors.unsent.load(Ordering::Acquire);
+        let open = context.shared.open.load(Ordering::Acquire) + context.unsent.load(Ordering::Acquire);
         // What has come in part by now comes whole soon, or its connection closes: see `Limits::request_read`.
-        let open = open + doors.reading.load(Ordering::Acquire);
+        let open = open + context.reading.load(Ordering::Acquire);
         quiet = if open == 0 { quiet + 1 } else { 0 };
         std::thread::sleep(LOOK);
     }
-    log!("stop: done, {} requests open", doors.shared.open.load(Ordering::Acquire));
+    log!("stop: done, {} requests open", context.shared.open.load(Ordering::Acquire));
     Ok(())
 }
 
@@ -69,15 +69,15 @@
 
 /// Closes the listeners once they have taken in what has connected. Guards connections that wait to be
 /// accepted: a listener that is shut resets them, and what was sent there is lost.
-pub fn close(listeners: &[Door], doors: &Doors) {
-    doors.closing.store(true, Ordering::Release);
+pub fn close(listeners: &[Acceptor], context: &FrontContext) {
+    context.closing.store(true, Ordering::Release);
     let since = Instant::now();
-    while !listeners.iter().all(Door::is_empty) && since.elapsed() < doors.limits.stop_listening {
+    while !listeners.iter().all(Acceptor::is_empty) && since.elapsed() < context.limits.stop_listening {
         std::thread::sleep(LOOK);
     }
-    for door in listeners {
-        // Wakes the coroutine that waits in accept; it sees that the doors are closing.
-        let _ = socket2::SockRef::from(door.listener.inner()).shutdown(Shutdown::Both);
+    for acceptor in listeners {
+        // Wakes the coroutine that waits in accept; it sees that the program is closing.
+        let _ = socket2::SockRef::from(acceptor.listener.inner()).shutdown(Shutdown::Both);
     }
 }
 
--- a/heronslip/tests/clients.rs
+++ b/heronslip/tests/clients.rs
@@ -1,7 +1,7 @@
 //! Usual clients in unlucky moments, met by the FastCGI front; the test is the core.
 mod common;
 
-use common::{call, connect, doors, fastcgi, fastcgi_answer, fastcgi_front, PATIENCE};
+use common::{call, connect, context, fastcgi, fastcgi_answer, fastcgi_front, PATIENCE};
 use heronslip::messages::{Answer, Client, Message, Payload};
 use std::io::{Read, Write};
 use std::sync::atomic::Ordering;
@@ -22,8 +22,8 @@
 /// add up to an end of the connection and of what else is open there.
 #[test]
 fn requests_turned_away_while_they_come_leave_the_connection_open() {
-    let (doors, queue) = doors(|limits| limits.held_bytes = 2_000);
-    let mut client = connect(fastcgi_front(&doors));
+    let (context, queue) = context(|limits| limits.held_bytes = 2_000);
+    let mut client = connect(fastcgi_front(&context));
     client.write_all(&call(9, "00000000000000a9", "9000", "open")).expect("written");
     assert_eq!(taken(&queue).0, b"open");
     for id in 10..24 {
@@ -37,8 +37,8 @@
 /// A request is answered while it comes; its client sends no more of it and uses the id anew.
 #[test]
 fn an_id_answered_while_it_came_can_be_used_anew() {
-    let (doors, queue) = doors(|limits| limits.held_bytes = 2_000);
-    let mut client = connect(fastcgi_front(&doors));
+    let (context, queue) = context(|limits| limits.held_bytes = 2_000);
+    let mut client = connect(fastcgi_front(&context));
     let whole = call(1, "00000000000000a1", "9000", &"x".repeat(15_000));
     client.write_all(&whole[..whole.len() - 8]).expect("written"); // all but the record that ends it
     assert_eq!(fastcgi_answer(&mut client).expect("an answer").2, 2, "overloaded");
@@ -49,8 +49,8 @@
 /// All permits are taken and another client connects: one that is sending its next request keeps its connection.
 #[test]
 fn a_usual_client_keeps_its_permit_while_it_sends() {
-    let (doors, queue) = doors(|limits| limits.client_connections = 1);
-    let address = fastcgi_front(&doors);
+    let (context, queue) = context(|limits| limits.client_connections = 1);
+    let address = fastcgi_front(&context);
     let mut client = connect(address);
     client.write_all(&call(1, "00000000000000a1", "9000", "first")).expect("written");
     let (_, owed, tag) = taken(&queue);
@@ -60,7 +60,7 @@
     let (begin, rest) = next.split_at(20);
     client.write_all(begin).expect("written");
     let until = Instant::now() + PATIENCE;
-    while doors.reading.load(Ordering::Acquire) == 0 {
+    while context.reading.load(Ordering::Acquire) == 0 {
         assert!(Instant::now() < until, "the part is not read");
         std::thread::yield_now();
     }
@@ -73,20 +73,20 @@
 /// A client leaves without reading what it asked for: while that is still being written, its permit is not given away.
 #[test]
 fn a_permit_is_taken_until_its_connection_is_closed() {
-    let (doors, queue) = doors(|limits| limits.client_connections = 1);
-    let mut client = connect(fastcgi_front(&doors));
+    let (context, queue) = context(|limits| limits.client_connections = 1);
+    let mut client = connect(fastcgi_front(&context));
     let question = fastcgi(1, &[("SCRIPT_NAME", "/healthz")], b"").repeat(500);
     // Until the socket takes no more answers; far below what may wait for one client.
-    while doors.unsent.load(Ordering::Acquire) < 100_000 {
+    while context.unsent.load(Ordering::Acquire) < 100_000 {
         client.write_all(&question).expect("written");
     }
     client.shutdown(std::net::Shutdown::Write).expect("open");
     while !matches!(queue.recv_timeout(PATIENCE).expect("it has left"), Message::Hangup(_)) {}
-    assert!(doors.unsent.load(Ordering::Acquire) > 0, "still being written");
-    assert!(doors.permits.take().is_none(), "two connections on one permit");
+    assert!(context.unsent.load(Ordering::Acquire) > 0, "still being written");
+    assert!(context.permits.take().is_none(), "two connections on one permit");
     client.read_to_end(&mut Vec::new()).expect("the rest");
     let until = Instant::now() + PATIENCE;
-    while doors.permits.take().is_none() {
+    while context.permits.take().is_none() {
         assert!(Instant::now() < until, "the permit is not given back");
         std::thread::yield_now();
     }
@@ -95,8 +95,8 @@
 /// Others' requests fill the bytes held: what a client that reads is owed is still written to it.
 #[test]
 fn an_answer_comes_through_while_requests_fill_the_bytes_held() {
-    let (doors, queue) = doors(|limits| limits.held_bytes = 9_000);
-    let address = fastcgi_front(&doors);
+    let (context, queue) = context(|limits| limits.held_bytes = 9_000);
+    let address = fastcgi_front(&context);
     let (mut client, mut other) = (connect(address), connect(address));
     client.write_all(&call(1, "00000000000000a1", "9000", "x")).expect("written");
     client.write_all(&call(2, "00000000000000a2", "9000", "y")).expect("written");
@@ -104,7 +104,7 @@
     let whole = call(1, "00000000000000a3", "9000", &"z".repeat(7_900));
     other.write_all(&whole[..whole.len() - 8]).expect("written"); // all but the record that ends it
     let until = Instant::now() + PATIENCE;
-    while doors.budget.used() < 8_000 {
+    while context.budget.used() < 8_000 {
         assert!(Instant::now() < until, "the body is not read");
         std::thread::yield_now();
     }
--- a/heronslip/tests/common/mod.rs
+++ b/heronslip/tests/common/mod.rs
@@ -34,7 +34,7 @@
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::Arc;
 
-use heronslip::front::{accept, Door, Doors};
+use heronslip::front::{accept, Acceptor, FrontContext};
 use heronslip::limits::{Budget, Limits};
 use heronslip::messages::Message;
 use heronslip::net::Permits;
@@ -652,13 +652,13 @@
 }
 
 /// What fronts need, with the core's end of the queue.
-pub fn doors(change: impl FnOnce(&mut Limits)) -> (Doors, Receiver<Message>) {
+pub fn context(change: impl FnOnce(&mut Limits)) -> (FrontContext, Receiver<Message>) {
     let mut limits = Limits::new(192, 256, &heronslip_policy::Settings::default());
     change(&mut limits);
     heronslip::net::schedule(&limits);
     let (core, queue) = channel();
     let limits = Arc::new(limits);
-    let doors = Doors {
+    let context = FrontContext {
         core,
         budget: Budget::new(limits.held_bytes),
         permits: Permits::new(limits.client_connections),
@@ -668,14 +668,14 @@
         reading: Arc::default(),
         closing: Arc::default(),
     };
-    (doors, queue)
+    (context, queue)
 }
 
-/// The FastCGI front of these doors on a listener of its own.
-pub fn fastcgi_front(doors: &Doors) -> SocketAddr {
-    let door = Door::new(may::net::TcpListener::bind("127.0.0.1:0").expect("a port"));
-    let (address, doors) = (door.listener.local_addr().expect("bound"), doors.clone());
-    let run = move || accept(&door, &doors, "test", heronslip::front::fastcgi::serve);
+/// The FastCGI front of this context on a listener of its own.
+pub fn fastcgi_front(context: &FrontContext) -> SocketAddr {
+    let acceptor = Acceptor::new(may::net::TcpListener::bind("127.0.0.1:0").expect("a port"));
+    let (address, context) = (acceptor.listener.local_addr().expect("bound"), context.clone());
+    let run = move || accept(&acceptor, &context, "test", heronslip::front::fastcgi::serve);
     heronslip::net::spawn(64 * 1024, run).expect("a coroutine");
     address
 }
--- a/heronslip/tests/ending.rs
+++ b/heronslip/tests/ending.rs
@@ -1,8 +1,8 @@
 //! A planned end, its parts held at gates: what has connected, and what is on its way between coroutines.
 mod common;
 
-use common::{connect, doors, fastcgi, fastcgi_front, PATIENCE};
-use heronslip::front::{accept, Door, Doors};
+use common::{connect, context, fastcgi, fastcgi_front, PATIENCE};
+use heronslip::front::{accept, Acceptor, FrontContext};
 use heronslip::messages::Message;
 use heronslip::net::{spawn, Permit, Socket};
 use may::net::TcpListener;
@@ -15,7 +15,7 @@
 static GATE: Mutex<Option<(Sender<()>, Receiver<()>)>> = Mutex::new(None);
 
 /// Holds the scheduler's one thread at the gate, then says one byte.
-fn say_one(mut stream: Socket, _: &Doors, _seat: Permit) {
+fn say_one(mut stream: Socket, _: &FrontContext, _permit: Permit) {
     if let Some((here, open)) = GATE.lock().expect("sound").take() {
         here.send(()).expect("awaited");
         open.recv().expect("opened");
@@ -27,26 +27,26 @@
 /// Connections wait to be accepted when the listener is to close: all of them are taken in first.
 #[test]
 fn what_has_connected_is_taken_in_before_the_listener_closes() {
-    let (doors, _queue) = doors(|limits| limits.stop_listening = PATIENCE);
-    let door = Door::new(TcpListener::bind("127.0.0.1:0").expect("a port"));
-    let address = door.listener.local_addr().expect("bound");
+    let (context, _queue) = context(|limits| limits.stop_listening = PATIENCE);
+    let acceptor = Acceptor::new(TcpListener::bind("127.0.0.1:0").expect("a port"));
+    let address = acceptor.listener.local_addr().expect("bound");
     let ((open, opened), (here, arrived)) = (channel(), channel());
     *GATE.lock().expect("sound") = Some((here, opened));
-    let (inside, within) = (door.clone(), doors.clone());
+    let (inside, within) = (acceptor.clone(), context.clone());
     spawn(64 * 1024, move || accept(&inside, &within, "test", say_one)).expect("a coroutine");
     let mut clients = vec![connect(address)];
     arrived.recv_timeout(PATIENCE).expect("the first connection is taken");
     clients.extend((1..20).map(|_| connect(address)));
     let closing = std::thread::spawn({
-        let (door, doors) = (door.clone(), doors.clone());
-        move || heronslip::shutdown::close(&[door], &doors)
+        let (acceptor, context) = (acceptor.clone(), context.clone());
+        move || heronslip::shutdown::close(&[acceptor], &context)
     });
     // A listener that does not wait is shut within this; one that waits is held by the gate, however long.
     let until = Instant::now() + Duration::from_millis(300);
     while Instant::now() < until && !closing.is_finished() {
         std::thread::yield_now();
     }
-    assert!(doors.closing.load(Ordering::Acquire), "it has begun to close");
+    assert!(context.closing.load(Ordering::Acquire), "it has begun to close");
     open.send(()).expect("awaited");
     for (n, client) in clients.iter_mut().enumerate() {
         assert_eq!(client.read(&mut [0]).ok(), Some(1), "client {n}");
@@ -58,8 +58,8 @@
 /// A request that the reader has handed over and the core has not taken yet is still counted.
 #[test]
 fn a_request_on_its_way_to_the_core_is_counted() {
-    let (doors, queue) = doors(|_| ());
-    let mut client = connect(fastcgi_front(&doors));
+    let (context, queue) = context(|_| ());
+    let mut client = connect(fastcgi_front(&context));
     let params = [
         ("SCRIPT_NAME", "/v1/any"),
         ("HTTP_REQ_ID", "00000000000000aa"),
@@ -73,10 +73,10 @@
     client.write_all(&fastcgi(2, &[], b"")).expect("written");
     assert!(common::fastcgi_answer(&mut client).expect("an answer").0.starts_with("Status: 400"));
     let until = Instant::now() + PATIENCE;
-    while doors.reading.load(Ordering::Acquire) > 1 && Instant::now() < until {
+    while context.reading.load(Ordering::Acquire) > 1 && Instant::now() < until {
         std::thread::yield_now();
     }
-    assert_eq!(doors.reading.load(Ordering::Acquire), 1);
+    assert_eq!(context.reading.load(Ordering::Acquire), 1);
     drop(message);
-    assert_eq!(doors.reading.load(Ordering::Acquire), 0);
+    assert_eq!(context.reading.load(Ordering::Acquire), 0);
 }
