--- a/scale/src/experiment.rs
+++ b/scale/src/experiment.rs
@@ -143,6 +143,10 @@
     /// Unevenness: the busiest front end gets this multiple of the mean, the others share the rest evenly.
     #[serde(default = "one_f")]
     pub busiest: f64,
+    /// Time over which calls grow evenly from none to their full rate: a fleet that is cold everywhere at once is a
+    /// case of its own.
+    #[serde(default)]
+    pub ramp_s: f64,
     /// Part of the functions in each class, in the settings' order.
     pub class_shares: Vec<f64>,
     /// Further tries that a client makes after a refusal.
@@ -374,6 +378,9 @@
         if self.calls.busiest < 1.0 || self.calls.busiest > f64::from(self.fleet.front_ends).max(1.0) {
             return Err(source.error("calls.busiest", "must be within 1 and the number of front ends"));
         }
+        if !(0.0..=self.duration_s).contains(&self.calls.ramp_s) {
+            return Err(source.error("calls.ramp_s", "must lie within the run"));
+        }
         let shares = &self.calls.class_shares;
         if shares.is_empty() || shares.iter().any(|s| !(0.0..=1.0).contains(s)) {
             return Err(source.error("calls.class_shares", "must hold parts within 0 and 1"));
--- a/scale/src/fleet/engine.rs
+++ b/scale/src/fleet/engine.rs
@@ -111,6 +111,7 @@
             catalogue: catalogue.clone(),
             ranks: Arc::new(ranks),
             retries: experiment.calls.retries,
+            ramp: seconds(experiment.calls.ramp_s),
             seed: experiment.seed,
         };
         let count = experiment.fleet.front_ends as usize;
@@ -369,6 +370,7 @@
             kind: format!("{:?}", f.kind),
             at_s: f.at_s,
             for_s: f.for_s,
+            least_in_time: self.book.least_in_time(seconds(f.at_s), seconds(self.next_failure(f.at_s))),
             recovered_after_s: self.book.recovery(seconds(f.at_s), seconds(self.next_failure(f.at_s))),
             number: n,
         });
--- a/scale/src/fleet/front_end.rs
+++ b/scale/src/fleet/front_end.rs
@@ -121,6 +121,8 @@
     settings: Arc<Settings>,
     catalogue: Arc<Catalogue>,
     calls_per_s: f64,
+    /// When calls begin, and how long they grow until they come at their full rate.
+    ramp: (Micros, Micros),
     retries: u32,
     random: Pcg64,
     controller: Option<Controller>,
@@ -149,6 +151,8 @@
     pub ranks: Arc<BTreeMap<u64, usize>>,
     /// Further tries of a refused client.
     pub retries: u32,
+    /// Time over which calls grow to their full rate.
+    pub ramp: Micros,
     /// The run's seed.
     pub seed: u64,
 }
@@ -162,6 +166,7 @@
             settings: common.settings.clone(),
             catalogue: common.catalogue.clone(),
             calls_per_s,
+            ramp: (0, common.ramp),
             retries: common.retries,
             random: Pcg64::seed_from_u64(seed),
             controller: None,
@@ -187,6 +192,7 @@
 
     /// Begins the calls of its own clients.
     pub fn open_for_clients(&mut self, now: Micros) {
+        self.ramp.0 = now;
         let first = now + self.gap();
         self.put(first, Incoming::Arrival);
     }
@@ -255,13 +261,22 @@
         (-(1.0 - drawn).ln() / self.calls_per_s * SECOND as f64) as Micros + 1
     }
 
+    /// Whether a call comes that would at the full rate.
+    fn comes(&mut self) -> bool {
+        let (start, length) = self.ramp;
+        let past = self.now.saturating_sub(start);
+        past >= length || self.random.random::<f64>() * (length as f64) < past as f64
+    }
+
     fn take(&mut self, what: Incoming) {
         match what {
             Incoming::Arrival => {
                 let next = self.now + self.gap();
                 self.put(next, Incoming::Arrival);
                 let rank = self.catalogue.rank(self.random.random());
-                self.call(Try { rank, asked: self.now, before: 0 });
+                if self.comes() {
+                    self.call(Try { rank, asked: self.now, before: 0 });
+                }
             }
             Incoming::Again(call) => self.call(call),
             _ if self.controller.is_none() => {}
--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -170,6 +170,8 @@
     pub at_s: f64,
     /// How long it lasted.
     pub for_s: Option<f64>,
+    /// Least part of a second's calls that was served in time, until the next failure.
+    pub least_in_time: f64,
     /// Seconds from its begin until calls were served in time as before; none if that did not come.
     pub recovered_after_s: Option<u64>,
 }
@@ -292,7 +294,8 @@
         );
         for f in &self.failures {
             let after = f.recovered_after_s.map_or("not in this run".to_owned(), |s| format!("{s} s"));
-            t.row(&format!("{} at {} s: recovered after", f.kind, f.at_s), after);
+            let figures = format!("{after}, {:.3}", f.least_in_time);
+            t.row(&format!("{} at {} s: recovered after, least in time", f.kind, f.at_s), figures);
         }
         let m = &self.machine;
         t.row("tool: wall s, CPU s, MB", format!("{:.1}, {:.1}, {:.0}", m.wall_s, m.cpu_s, m.peak_mb));
