Let each of many gateways use its own part of a function's order of workers

Cause: all gateways look for a function's copies in one order. A function with half of 11,700 calls/s needs 630 copies; each gateway alone needs five, finds them at the first workers of that order, and so do all others. Each tried to know as many copies as all gateways together need, by an order to load with nearly every call.

Change: where all need more than 16 copies (and gateways are more than a few), a gateway with index i of n begins at the i-th n-th part of as many workers as that, and needs to know two copies for each of its own calls in flight beyond those asked. Every worker is before equally many gateways. What it knew elsewhere is left to the others.

The test that one of two hundred gateways holds a function at more workers than one of two now asks it of ten of them together, as each holds a part, and bounds that part.

--- a/scale/src/fleet/engine.rs
+++ b/scale/src/fleet/engine.rs
@@ -110,6 +110,7 @@
             settings: settings.clone(),
             catalogue: catalogue.clone(),
             ranks: Arc::new(ranks),
+            front_ends: experiment.fleet.front_ends,
             retries: experiment.calls.retries,
             ramp: seconds(experiment.calls.ramp_s),
             seed: experiment.seed,
--- a/scale/src/fleet/front_end.rs
+++ b/scale/src/fleet/front_end.rs
@@ -149,6 +149,8 @@
     pub catalogue: Arc<Catalogue>,
     /// Ranks by the functions' identifiers.
     pub ranks: Arc<BTreeMap<u64, usize>>,
+    /// Front ends that run.
+    pub front_ends: u32,
     /// Further tries of a refused client.
     pub retries: u32,
     /// Time over which calls grow to their full rate.
@@ -157,13 +159,20 @@
     pub seed: u64,
 }
 
+impl Common {
+    /// The position of a front end among those that the settings name, over which those that run are spread.
+    fn index_of(&self, number: usize) -> u32 {
+        (number as u64 * u64::from(self.settings.gateways) / u64::from(self.front_ends.max(1))) as u32
+    }
+}
+
 impl FrontEnd {
     /// A front end that gets so many calls a second. It has not been started.
     pub fn new(number: usize, calls_per_s: f64, common: &Common) -> Self {
         let seed = common.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ number as u64;
         FrontEnd {
             number,
-            settings: common.settings.clone(),
+            settings: Arc::new(Settings { index: common.index_of(number), ..(*common.settings).clone() }),
             catalogue: common.catalogue.clone(),
             calls_per_s,
             ramp: (0, common.ramp),
--- a/scale/src/node/deploy.rs
+++ b/scale/src/node/deploy.rs
@@ -89,7 +89,11 @@
     experiment: &Experiment, settings: &Object, front_end: usize, board: std::net::SocketAddr, known: &str,
 ) -> String {
     let node = &experiment.node;
-    let settings = json::to_string(&Value::Object(settings.clone()));
+    let mut settings = settings.clone();
+    let (told, run) = (u64::from(experiment.fleet.told()), u64::from(experiment.fleet.front_ends));
+    let index = front_end as u64 * told / run;
+    settings.insert("index".to_owned(), Value::Number(Number::U64(index)));
+    let settings = json::to_string(&Value::Object(settings));
     format!(
         r#"{{"name":"n{front_end}","listen":"127.0.0.1:0","seed":"{:016x}","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"board":"{board}","known":{known},"settings":{settings}}}"#,
         experiment.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ front_end as u64,
--- a/src/control.rs
+++ b/src/control.rs
@@ -1,9 +1,8 @@
 //! Every decision of a gateway. The settings, events and actions it speaks in stand in `src/interface.rs`.
 //!
 //! Ordinary path, after the paper on adaptive replication in loss networks: a request goes to a uniformly
-//! random worker among those believed warm with a free lane. Finding none is a loss; losses, real and
-//! virtual, add copies where the least recently lost function lies idle. All else is a guard, and says
-//! against what.
+//! random worker among those believed warm with a free lane. Finding none is a loss; losses, real and virtual,
+//! add copies where the least recently lost function lies idle. All else is a guard, and says against what.
 use crate::interface::*;
 use crate::state::*;
 use rand_pcg::rand_core::SeedableRng;
@@ -21,9 +20,8 @@
 /// Questions that each call earns at most, and how many can be saved up: a round for some tens of functions.
 const QUESTIONS: (f64, f64) = (0.5, 600.0);
 const HOLDS: f64 = 8.0; // holds that can be saved up, and that each call earns at most
-/// Share of a call's worth that its holds may cost, and the most that a question may. A hundred gateways
-/// each need what one would, for a hundredth of the calls: without a bound they spend more than loads cost.
-/// Where a question is dearer the call itself goes to the first place of the common draw: it tells as much.
+/// Share of a call's worth that its holds may cost, and the most that a question may: a hundred gateways need a
+/// hundred times what one does. Where a question is dearer the call itself goes to the first of the common order.
 const SPENT: (f64, f64) = (0.01, 0.01);
 const KEEP_USED: f64 = 0.9; // share of the told keep-alive that a belief lasts: travel time, slack
 const BELIEVED: f64 = 4.0; // most keep-alives for which others' calls are trusted to keep a copy
@@ -35,6 +33,8 @@
 const LOAD_CAP: (f64, f64) = (1.0, 8.0); // bounds of the adaptive cap on our loads in flight
 const LOAD_SLOW: f64 = 2.0; // a load this multiple of its usual time shows that the store is crowded
 const COPIES_PER_CALL: f64 = 1.0; // copies beyond the first for each call in flight: a core's work
+/// Copies needed by all up to which all use the same; beyond, those that each needs for a call of its own in flight.
+const APERTURE: (f64, f64) = (16.0, 2.0);
 const MEMORY_FULL: f64 = 0.65; // share of memory that our account fills before it drops what it replaces
 const CALLS_COUNTED: f64 = 30.0; // rates are taken over so many calls, within these bounds of time:
 const SPANS: (Micros, Micros) = (2 * SEC, 8 * SEC);
@@ -133,12 +133,8 @@
                 let delay = if self.requests.is_empty() { SURVEY } else { TICK };
                 out.push(Action::Timer { delay, token: 0 });
             }
-            Event::Timer { token } => {
-                let id = token >> 1;
-                if self.requests.get(&id).is_some_and(|r| now >= r.ends) {
-                    self.finish(id, out);
-                }
-            }
+            Event::Timer { token } if self.requests.get(&(token >> 1)).is_none_or(|r| now < r.ends) => {}
+            Event::Timer { token } => self.finish(token >> 1, out),
             Event::Loaded { worker, function, count, outcome, elapsed } => {
                 let known = (self.worker_ids.get(&worker), self.function_ids.get(&function));
                 if let (Some(&w), Some(&f)) = known {
@@ -164,8 +160,7 @@
         self.retry_held(None, now, out);
     }
 
-    /// A refused or lost connection: the worker leaves the choice until it answers a question. Its copies
-    /// stay believed until then, as only the connection may have broken.
+    /// A refused or lost connection: the worker leaves the choice until it answers; its copies stay believed.
     fn died(&mut self, w: usize, now: Micros) {
         self.workers[w].dead = true;
         self.workers[w].next_trial = now + TRIALS.0 / 4;
@@ -226,6 +221,19 @@
         known * span * f64::from(self.set.gateways.max(1))
     }
 
+    /// Which part of the copies of a function that all gateways need is ours: workers at the head of its order that
+    /// are left to others, and copies. Guards the first workers of a function that many call from all gateways.
+    fn part(&self, f: usize) -> (usize, f64) {
+        let all = COPIES_PER_CALL * self.fleet_calls(f, self.functions[f].service);
+        let gateways = self.set.gateways.max(1);
+        if gateways <= FEW || all <= APERTURE.0 {
+            return (0, all);
+        }
+        let spread = (all as usize).next_power_of_two().min(self.workers.len()); // in steps: it wavers
+        let skipped = (self.set.index % gateways) as usize * spread / gateways as usize;
+        (skipped, all.min(ASKED as f64 + APERTURE.1 * all / f64::from(gateways)))
+    }
+
     /// How long a sign that a copy stands is believed: the keep-alive; longer while several gateways' calls
     /// come several times to each copy within it and so restart its idle time.
     fn belief(&self, f: usize) -> Micros {
@@ -272,6 +280,7 @@
         let past = now.saturating_sub(told.last_call) as f64;
         told.calls = told.calls * (-past / SPANS.1 as f64).exp() + 1.0;
         (told.class, told.last_call) = (class, now);
+        self.keep_to(f, self.part(f).0, draw);
         let life = self.belief(f);
         for c in self.functions[f].at.values_mut().filter(|c| c.count > 0) {
             c.expires = c.expires.max(c.seen + life);
@@ -282,8 +291,7 @@
         let earned = if price > SPENT.1 { 0.0 } else { QUESTIONS.0 };
         self.questions = (self.questions + earned).min(QUESTIONS.1);
         self.holds = (self.holds + (SPENT.0 / price).min(HOLDS)).min(HOLDS);
-        let left = left.min(LONGEST);
-        let ends = now + left.saturating_sub(END_MARGIN);
+        let (left, ends) = (left.min(LONGEST), now + left.min(LONGEST).saturating_sub(END_MARGIN));
         let tenant = tenant.filter(|&t| t < self.tenant_rate.len());
         tenant.into_iter().for_each(|t| self.tenant_rate[t] += 1.0);
         let (lost, done, errors, attempts) = (false, false, 0, Vec::new());
@@ -313,14 +321,14 @@
             return false;
         }
         let wait = self.backlog / self.served_rate.max(0.1) * SEC as f64;
-        let doomed = left < service; // its client leaves before an answer is likely: work for nothing
         let over = tenant.is_some_and(|t| self.over_share(t));
         let told = &self.set.classes[..self.set.classes.len() - 1];
         let density = |c: usize| self.set.classes[c].worth / self.class_service[c];
         let worse = (0..told.len()).filter(|&c| density(c) < density(class) / 1.2).count();
         let rank = worse as f64 / (told.len() as f64 - 1.0).max(1.0);
         let bound = if over { REFUSE.0 } else { REFUSE.1 + (REFUSE.2 - REFUSE.1) * rank };
-        doomed || wait > bound * told.iter().map(|c| c.aim as f64).sum::<f64>() / told.len().max(1) as f64
+        left < service
+            || wait > bound * told.iter().map(|c| c.aim as f64).sum::<f64>() / told.len().max(1) as f64
     }
 
     /// Whether a tenant has more of our traffic than its part of the shares, by more than chance would give:
@@ -471,8 +479,7 @@
         out.push(Action::Send { id, worker: worker.entry.worker.clone(), timeout });
     }
 
-    /// The one final answer: refused where nothing can have run, failed otherwise. What is still out is
-    /// called off, so that workers that can stop do.
+    /// The one final answer: refused where nothing can have run, else failed. What is out is called off.
     fn finish(&mut self, id: RequestId, out: &mut Vec<Action>) {
         let Some(r) = self.requests.get(&id).filter(|r| !r.done) else { return };
         let ran = r.attempts.iter().any(|a| a.may_have_run);
@@ -532,8 +539,7 @@
         self.retry_held(Some(f), now, out);
     }
 
-    /// One running figure of how a worker does against what was expected: slow answers, errors, time-outs,
-    /// resets, rejections and silence raise it, whatever their cause.
+    /// One running figure of how a worker does against what was expected: whatever goes wrong there raises it.
     fn judge(&mut self, now: Micros, f: usize, a: &Attempt, how: (Outcome, Micros, bool), loaded: bool) {
         let (outcome, elapsed, over) = how;
         let (w, class, expected, mut sample) = (a.worker, self.functions[f].class, a.expected, None);
@@ -601,8 +607,7 @@
 
     /// Figures of the fleet over the span since the last time, silence, trials, renewals.
     fn survey(&mut self, now: Micros, past: Micros, out: &mut Vec<Action>) {
-        let window = self.set.load_window;
-        while self.taken.front().is_some_and(|&t| t + window.max(SPANS.1) < now) {
+        while self.taken.front().is_some_and(|&t| t + self.set.load_window.max(SPANS.1) < now) {
             self.taken.pop_front();
         }
         let ready = std::mem::take(&mut self.ready);
@@ -750,11 +755,11 @@
         self.held(only).into_iter().for_each(|id| self.place(now, id, out));
     }
 
-    /// Learns before loading: asks ready workers whether the function stands there. True while answers are
-    /// awaited. Guards against a (re)started gateway loading what others have loaded already.
+    /// Guards against loading what others have loaded: asks for it. True while answers are awaited.
     fn ask(&mut self, f: usize, now: Micros, out: &mut Vec<Action>) -> bool {
         let most = if self.set.gateways > 1 { ASKED } else { usize::MAX };
-        let order = if most == ASKED { self.nearest(f, draw) } else { self.by_preference(f, draw) };
+        let order =
+            if most == ASKED { self.nearest(f, self.part(f).0, draw) } else { self.by_preference(f, draw) };
         let open = |&w: &usize| self.set.orders && self.workers[w].ready() && !self.suspect(w);
         let asked: Vec<usize> = order.into_iter().filter(open).take(most).collect();
         let mut awaited = false;
@@ -798,12 +803,10 @@
         let cap = if ahead { self.load_cap / 2.0 } else { self.load_cap };
         let function = &self.functions[f];
         let pending = function.at.values().any(|c| c.holding() || c.cold_sends > 0);
-        // Exception, while several gateways share the workers: each answers the same losses, and together
-        // they would load more copies than memory holds and unload each other's. So calls in flight, taken
-        // over all gateways, bound the copies that we know of.
+        // Exception, while several gateways share the workers: each answers the same losses, and together they
+        // would unload each other's copies. So calls in flight bound the copies that we know of.
         let known = self.counts(function, now).0 as f64;
-        let bound = 1.0 + (COPIES_PER_CALL * self.fleet_calls(f, function.service)).round();
-        let enough = self.set.gateways > 1 && known >= bound;
+        let enough = self.set.gateways > 1 && known >= 1.0 + self.part(f).1.round();
         let full = f64::from(self.loads_out) + 1.0 > cap || enough;
         if !self.set.orders || full || (pending && function.held.is_empty()) || self.rationed(now, ahead) {
             return false;
@@ -819,7 +822,7 @@
     /// Where a new copy goes: a random worker on which the least recently lost function lies idle, else any.
     /// A slot once given away is passed over until its function is used again, as if it had been evicted.
     fn target(&mut self, f: usize, now: Micros, id: Option<RequestId>) -> Option<usize> {
-        let (class, nearest) = (self.functions[f].class, self.nearest(f, draw));
+        let (class, nearest) = (self.functions[f].class, self.nearest(f, self.part(f).0, draw));
         let fits = |w: usize, warm_too: bool| {
             let worker = &self.workers[w];
             let c = self.functions[f].at.get(&w);
@@ -832,16 +835,12 @@
                 && id.is_none_or(|id| self.allowed(id, w, now))
         };
         let idle = |c: &Copy| c.warm(now) && c.ours == 0;
-        // Exception, while several gateways share the workers: private draws would give each of them copies
-        // of its own. They draw alike instead, in an order that the ids alone decide, and take the first
-        // worker that has room or holds an idle copy of a function lost less recently than this one.
+        // Exception, while several gateways share the workers: they draw alike, in an order that the ids alone
+        // decide, and take the first that has room or holds an idle copy of a function lost less recently.
         if self.set.gateways > 1 {
             let lost = self.functions[f].last_lost;
-            let yields = |g: &usize, w: usize| {
-                let g = &self.functions[*g];
-                g.last_lost < lost && g.at.get(&w).is_some_and(idle)
-            };
-            let gives = |w: usize| self.workers[w].holds.iter().any(|g| yields(g, w));
+            let yields = |g: &Function, w: usize| g.last_lost < lost && g.at.get(&w).is_some_and(idle);
+            let gives = |w: usize| self.workers[w].holds.iter().any(|&g| yields(&self.functions[g], w));
             let choose = |order: &[usize], warm_too| {
                 let fitting = || order.iter().copied().filter(|&w| fits(w, warm_too));
                 fitting().find(|&w| self.room(f, w, now) >= 0.0 || gives(w)).or_else(|| fitting().next())
@@ -904,7 +903,6 @@
     /// Renews the last believed copy of a function still in use, so that its next call finds it.
     fn renew(&mut self, now: Micros, out: &mut Vec<Action>) {
         let keep = self.keep();
-        let lead = (keep as f64 * (1.0 - RENEW_AT)) as Micros;
         for f in 0..self.functions.len() {
             let function = &self.functions[f];
             if now > function.last_call + (keep as f64 * RENEW_FOR) as Micros || !self.set.orders {
@@ -914,14 +912,17 @@
                 |&(&w, c): &(&usize, &Copy)| c.warm(now) && self.workers[w].ready() && !self.workers[w].dead;
             let last = function.at.iter().filter(warm).max_by_key(|(_, c)| c.expires);
             let Some((&w, c)) = last else { continue };
-            if c.ours == 0 && c.order.is_none() && c.expires < now + lead && !self.rationed(now, true) {
+            if c.ours == 0
+                && c.order.is_none()
+                && c.expires < now + (keep as f64 * (1.0 - RENEW_AT)) as Micros
+                && !self.rationed(now, true)
+            {
                 self.hold(f, w, 1, now, out);
             }
         }
     }
 
-    /// The answer to a hold or a question. Guards the shared store: slow or failed loads halve our cap on
-    /// loads in flight, good ones raise it slowly.
+    /// The answer to a hold or a question. Guards the store: slow or failed loads cut our cap on loads in flight.
     fn loaded(
         &mut self, now: Micros, w: usize, f: usize, reply: (u32, Outcome, Micros), out: &mut Vec<Action>,
     ) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -69,6 +69,8 @@
 pub struct Settings {
     /// Number of gateways that serve the same workers.
     pub gateways: u32,
+    /// Which of them this is, from 0.
+    pub index: u32,
     /// Classes of requests.
     pub classes: Vec<ClassSettings>,
     /// Tenants, if any.
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -35,6 +35,7 @@
         let advice = if flag(limits, "retry-after") { span(limits, "max-retry-after") } else { 0 };
         Settings {
             gateways: count(conf, "balancers"),
+            index: count(conf, "index"),
             classes: items("classes").map(class).collect(),
             tenants: items("tenants").map(tenant).collect(),
             zones: names(list(conf, "failure-domains")),
--- a/src/state.rs
+++ b/src/state.rs
@@ -43,6 +43,8 @@
     pub(crate) nearest: Vec<Preferred>,
     /// How many are kept, once any are.
     pub(crate) kept: usize,
+    /// Workers of the order that come before them.
+    pub(crate) skipped: usize,
     pub(crate) held: VecDeque<RequestId>,
 }
 
@@ -70,6 +72,9 @@
     /// A worker has come, maybe into the slot of one that left. `all` is the number of slots.
     fn prefer(&mut self, new: Preferred, all: usize) {
         self.nearest.retain(|p| p.worker != new.worker);
+        if self.skipped > 0 && self.nearest.first().is_some_and(|p| new.rank() < p.rank()) {
+            return; // it belongs to those that are skipped
+        }
         // Workers behind the last one kept are not known: none may be put there, unless it is all there are.
         let complete = self.nearest.len() + 1 >= all;
         let before = self.nearest.partition_point(|p| p.rank() < new.rank());
@@ -419,33 +424,61 @@
         order
     }
 
-    /// The first workers in the function's order: [`NEAREST`], or twice as many as it has copies. Kept, and kept up
-    /// as workers come: what a function takes does not grow with the fleet, and a change of the list costs each of
-    /// them one draw.
-    pub(crate) fn nearest(&mut self, f: usize, draw: Draw) -> Vec<usize> {
+    /// The first workers in the function's order behind those skipped: [`NEAREST`], or twice as many as it has
+    /// copies. Kept, and kept up as workers come: what a function takes does not grow with the fleet, and a change of
+    /// the list costs each of them one draw.
+    pub(crate) fn nearest(&mut self, f: usize, skipped: usize, draw: Draw) -> Vec<usize> {
+        self.keep_to(f, skipped, draw);
         let function = &self.functions[f];
         if function.nearest.is_empty() || 2 * function.at.len() > function.kept {
             let kept = NEAREST.max((2 * function.at.len()).next_power_of_two());
-            let nearest = self.first_by_preference(f, kept, draw);
+            let nearest = self.by_preference_from(f, skipped, kept, draw);
             let function = &mut self.functions[f];
             (function.nearest, function.kept) = (nearest, kept);
         }
         self.functions[f].nearest.iter().map(|p| p.worker as usize).collect()
     }
 
-    fn first_by_preference(&self, f: usize, kept: usize, draw: Draw) -> Vec<Preferred> {
+    /// Sees to it that the workers skipped are these: if they were others, what is known of the function at workers
+    /// that are not among the nearest any more is left to those gateways whose nearest they are.
+    pub(crate) fn keep_to(&mut self, f: usize, skipped: usize, draw: Draw) {
+        if self.functions[f].skipped == skipped {
+            return;
+        }
+        let nearest = self.by_preference_from(f, skipped, NEAREST, draw);
+        let ours: BTreeSet<usize> = nearest.iter().map(|p| p.worker as usize).collect();
+        let function = &mut self.functions[f];
+        (function.nearest, function.kept, function.skipped) = (nearest, NEAREST, skipped);
+        for (w, c) in &mut function.at {
+            if !ours.contains(w) {
+                (c.count, c.expires) = (0, 0);
+            }
+        }
+        let workers = &mut self.workers;
+        function.at.retain(|w, c| {
+            let stays = ours.contains(w) || c.in_use();
+            if !stays {
+                workers[*w].holds.remove(&f);
+            }
+            stays
+        });
+    }
+
+    fn by_preference_from(&self, f: usize, skipped: usize, kept: usize, draw: Draw) -> Vec<Preferred> {
         let id = self.functions[f].id;
         let drawn = |(w, worker): (usize, &Worker)| Preferred {
             draw: draw(id, &worker.entry.worker),
             worker: w as u32,
         };
         let mut order: Vec<Preferred> = self.workers.iter().enumerate().map(drawn).collect();
-        if order.len() > kept {
-            order.select_nth_unstable_by_key(kept, Preferred::rank);
-            order.truncate(kept);
-            order.shrink_to_fit();
+        let end = skipped + kept;
+        if order.len() > end {
+            order.select_nth_unstable_by_key(end, Preferred::rank);
+            order.truncate(end);
         }
         order.sort_unstable_by_key(Preferred::rank);
+        order.drain(..skipped.min(order.len()));
+        order.shrink_to_fit();
         order
     }
 
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -98,26 +98,40 @@
     assert!(play(&calls, 700 * MS, None) > 0);
 }
 
-#[test]
-fn calls_of_many_gateways_spread_a_function_that_one_alone_would_not() {
-    let workers = |gateways| {
-        let mut rig = Rig::new(many(gateways), 40);
-        warm_all(&mut rig, 1, 7);
-        let mut held = std::collections::BTreeSet::new();
-        for id in 10..40 {
-            let out = call(&mut rig, id, 7, 0);
-            for w in loads(&out, 1) {
-                rig.loaded(&w, 7, 1, Outcome::Ok);
-                held.insert(w);
+/// The workers that one of so many gateways sends the calls of a function to, all of which know it warm.
+fn used(gateways: u32, index: u32) -> std::collections::BTreeSet<String> {
+    let mut rig = Rig::new(Settings { index, ..many(gateways) }, 40);
+    warm_all(&mut rig, 1, 7);
+    let mut used = std::collections::BTreeSet::new();
+    for id in 10..60 {
+        let mut out = call(&mut rig, id, 7, 0);
+        while let Some(action) = out.pop() {
+            match action {
+                Action::Load { worker, function, .. } => {
+                    out.extend(rig.loaded(&worker, function, 1, Outcome::Ok));
+                }
+                Action::Send { worker, .. } => drop(used.insert(worker)),
+                _ => {}
             }
-            rig.pass(100 * MS);
-            answer(&mut rig, id, Outcome::Ok, 100 * MS, Some(1.0));
-            rig.pass(300 * MS);
         }
-        held.len()
+        rig.pass(100 * MS);
+        answer(&mut rig, id, Outcome::Ok, 100 * MS, Some(1.0));
+        rig.pass(300 * MS);
+    }
+    used
+}
+
+/// Many gateways spread a function over more workers than two do, and each of them uses a part of those only.
+#[test]
+fn calls_of_many_gateways_spread_a_function_that_one_alone_would_not() {
+    let all = |gateways: u32, step: usize| -> usize {
+        let used = (0..gateways).step_by(step).flat_map(|index| used(gateways, index));
+        used.collect::<std::collections::BTreeSet<String>>().len()
     };
-    let (few, hundreds) = (workers(2), workers(200));
-    assert!(hundreds >= few + 5, "{few} workers for two gateways, {hundreds} for two hundred");
+    let (few, hundreds) = (all(2, 1), all(200, 20));
+    assert!(hundreds >= few + 5, "{few} workers for two gateways, {hundreds} for ten of two hundred");
+    let most = (0..200).step_by(20).map(|index| used(200, index).len()).max();
+    assert!(most.is_some_and(|n| n <= 20), "{most:?} workers for one of them");
 }
 
 #[test]
