--- a/scale/src/fleet/calls.rs
+++ b/scale/src/fleet/calls.rs
@@ -193,10 +193,11 @@
         }
     }
 
-    /// The least part of the calls of a second that was served in time, over these seconds of the run.
+    /// The least part of the calls asked in a second that was served in time, over these seconds of the run and the
+    /// one before, whose last calls were still open when they began.
     pub fn least_in_time(&self, since: Micros, until: Micros) -> f64 {
         let (begin, end) = ((since / SECOND) as usize, (until / SECOND) as usize);
-        (begin..end).filter_map(|at| self.in_time(at, at + 1)).fold(1.0, f64::min)
+        (begin.saturating_sub(1)..end).filter_map(|at| self.in_time(at, at + 1)).fold(1.0, f64::min)
     }
 
     /// The part of the calls asked in these seconds that was served in time; nothing if there were none.
