--- a/src/control.rs
+++ b/src/control.rs
@@ -1,8 +1,8 @@
 //! Every decision of a gateway. The settings, events and actions it speaks in stand in `src/interface.rs`.
 //!
 //! Ordinary path, after the paper on adaptive replication in loss networks: a request goes to a uniformly
-//! random worker among those believed warm with a free lane. Finding none is a loss; losses, real and virtual,
-//! add copies where the least recently lost function lies idle. All else is a guard, and says against what.
+//! random worker among those believed warm with a free lane. Finding none is a loss; losses, real or virtual,
+//! add copies where the least recently lost function lies idle. All else is a guard, and says so.
 use crate::interface::*;
 use crate::state::*;
 use rand_pcg::rand_core::SeedableRng;
@@ -20,8 +20,8 @@
 /// Questions that each call earns at most, and how many can be saved up: a round for some tens of functions.
 const QUESTIONS: (f64, f64) = (0.5, 600.0);
 const HOLDS: f64 = 8.0; // holds that can be saved up, and that each call earns at most
-/// Share of a call's worth that its holds may cost, and the most that a question may: a hundred gateways need a
-/// hundred times what one does. Where a question is dearer the call itself goes to the first of the common order.
+/// Share of a call's worth that its holds may cost, and the most that a question may: a hundred gateways ask
+/// a hundred times. Where a question is dearer the call itself goes to the first of the common order.
 const SPENT: (f64, f64) = (0.01, 0.01);
 const KEEP_USED: f64 = 0.9; // share of the told keep-alive that a belief lasts: travel time, slack
 const BELIEVED: f64 = 4.0; // most keep-alives for which others' calls are trusted to keep a copy
@@ -33,7 +33,7 @@
 const LOAD_CAP: (f64, f64) = (1.0, 8.0); // bounds of the adaptive cap on our loads in flight
 const LOAD_SLOW: f64 = 2.0; // a load this multiple of its usual time shows that the store is crowded
 const COPIES_PER_CALL: f64 = 1.0; // copies beyond the first for each call in flight: a core's work
-/// Copies needed by all up to which all use the same; beyond, those that each needs for a call of its own in flight.
+/// Copies that all need up to which all use the same; beyond, those that each needs for a call of its own.
 const APERTURE: (f64, f64) = (16.0, 2.0);
 const MEMORY_FULL: f64 = 0.65; // share of memory that our account fills before it drops what it replaces
 const CALLS_COUNTED: f64 = 30.0; // rates are taken over so many calls, within these bounds of time:
@@ -221,8 +221,8 @@
         known * span * f64::from(self.set.gateways.max(1))
     }
 
-    /// Which part of the copies of a function that all gateways need is ours: workers at the head of its order that
-    /// are left to others, and copies. Guards the first workers of a function that many call from all gateways.
+    /// Our part of the copies that all gateways need of a function: workers at the head of its order left to
+    /// others, and copies. Guards the first workers of a function that all gateways call.
     fn part(&self, f: usize) -> (usize, f64) {
         let all = COPIES_PER_CALL * self.fleet_calls(f, self.functions[f].service);
         let gateways = self.set.gateways.max(1);
@@ -539,7 +539,7 @@
         self.retry_held(Some(f), now, out);
     }
 
-    /// One running figure of how a worker does against what was expected: whatever goes wrong there raises it.
+    /// One running figure of how a worker does against what was expected: what goes wrong there raises it.
     fn judge(&mut self, now: Micros, f: usize, a: &Attempt, how: (Outcome, Micros, bool), loaded: bool) {
         let (outcome, elapsed, over) = how;
         let (w, class, expected, mut sample) = (a.worker, self.functions[f].class, a.expected, None);
@@ -803,7 +803,7 @@
         let cap = if ahead { self.load_cap / 2.0 } else { self.load_cap };
         let function = &self.functions[f];
         let pending = function.at.values().any(|c| c.holding() || c.cold_sends > 0);
-        // Exception, while several gateways share the workers: each answers the same losses, and together they
+        // Exception, while several gateways share the workers: each answers the same losses, together they
         // would unload each other's copies. So calls in flight bound the copies that we know of.
         let known = self.counts(function, now).0 as f64;
         let enough = self.set.gateways > 1 && known >= 1.0 + self.part(f).1.round();
@@ -835,7 +835,7 @@
                 && id.is_none_or(|id| self.allowed(id, w, now))
         };
         let idle = |c: &Copy| c.warm(now) && c.ours == 0;
-        // Exception, while several gateways share the workers: they draw alike, in an order that the ids alone
+        // Exception, while several gateways share the workers: they draw alike, in an order that ids alone
         // decide, and take the first that has room or holds an idle copy of a function lost less recently.
         if self.set.gateways > 1 {
             let lost = self.functions[f].last_lost;
@@ -922,7 +922,7 @@
         }
     }
 
-    /// The answer to a hold or a question. Guards the store: slow or failed loads cut our cap on loads in flight.
+    /// The answer to a hold or a question. Guards the store: slow or failed loads cut our cap on loads out.
     fn loaded(
         &mut self, now: Micros, w: usize, f: usize, reply: (u32, Outcome, Micros), out: &mut Vec<Action>,
     ) {
