--- a/heronslip/tests/common/mod.rs
+++ b/heronslip/tests/common/mod.rs
@@ -706,6 +706,7 @@
             let command = Received::read(stream).expect("a command");
             match command.code {
                 6 => stream.write_all(&frame(200, command.id, "slots_up=1", &[])).expect("written"),
+                4 | 5 => stream.write_all(&frame(206, command.id, "", &[])).expect("written"),
                 8 => {}
                 _ => return command,
             }
@@ -750,12 +751,13 @@
     let address = listener.local_addr().expect("bound");
     let serve = |mut stream: TcpStream| {
         while let Ok(command) = Received::read(&mut stream) {
-            let (fields, body) = match command.code {
-                2 => ("detail=resident", &command.body[..]),
-                6 => ("slots_up=1", &[][..]),
+            let (code, fields, body) = match command.code {
+                2 => (200, "detail=resident", &command.body[..]),
+                4 | 5 => (206, "", &[][..]),
+                6 => (200, "slots_up=1", &[][..]),
                 _ => continue,
             };
-            if stream.write_all(&frame(200, command.id, fields, body)).is_err() {
+            if stream.write_all(&frame(code, command.id, fields, body)).is_err() {
                 return;
             }
         }
@@ -773,6 +775,7 @@
         match command.code {
             _ if hush.load(Ordering::Acquire) => {}
             6 => stream.write_all(&frame(200, id, "slots_up=1", &[])).expect("written"),
+            4 | 5 => stream.write_all(&frame(206, id, "", &[])).expect("written"),
             2 => {
                 assert_eq!(command.field("path"), FUNCTION);
                 let field = |name: &str| command.field(name).to_owned();
