Test of the mixed ends: judge calls by whether they came after the answer

(The settings of the stand-in stage state the grace of the drain rule and allow probes, as the site's do.)

--- a/heronslip/tests/common/mod.rs
+++ b/heronslip/tests/common/mod.rs
@@ -9,6 +9,7 @@
 //!     client close
 //!     worker expect CLASS KEY BODY [same]    the next call at any worker; `same`: in the hall of the last
 //!     worker expect nothing                  no call comes
+//!     worker expect nothing later            none comes after the client's answer; before it only the last one again
 //!     worker send ok BODY | full | miss | error | half     answers the last call; `half` ends midway
 //!     worker send stall | spoilt             an answer that stops midway; one whose check does not match
 //!     worker hush                            says nothing more on the last call's connection
@@ -53,6 +54,7 @@
 /// A call as a stand-in worker saw it.
 pub struct Call {
     speech: Speech,
+    came: Instant,
     hall: usize,
     id: u64,
     class: String,
@@ -85,7 +87,7 @@
  "family-info":{"free-loads":4,"keep":8000,"load-span":5000,"load-wait":4000,"loads-per-request":0.15,
  "machine-mb":[90000],"orders":true,"tells-crowd":true,"tells-warm":true,"when-absent":"load"},
  "limits":{"conn-idle":15000,"connect-timeout":250,"max-attempts":3,"max-retry-after":1000,"may-cancel":true,
- "retry-after":true,"second-copies":false,"streams-per-conn":100},"rules":{"cold-from":0.2,"fall":1000,
+ "probes":true,"retry-after":true,"second-copies":false,"streams-per-conn":100},"rules":{"cold-from":0.2,"drain-grace":1000,"fall":1000,
  "fall-multiple":2,"warm-within":17000}}"#;
 
 /// What a test may want otherwise of the program and what surrounds it.
@@ -315,6 +317,7 @@
         let address = if front == Speech::Platform { self.front } else { self.kserve };
         let mut client = Client { speech: front, stream: connect(address) };
         let (mut last, mut seen): (Option<Call>, Vec<String>) = (None, Vec::new());
+        let mut answered = Instant::now();
         let (mut told, mut silent): (Option<TcpStream>, Vec<TcpStream>) = (None, Vec::new());
         for line in scenario.lines().map(str::trim).filter(|l| !l.is_empty()) {
             let words: Vec<&str> = line.split_whitespace().collect();
@@ -333,9 +336,18 @@
                 ["client", "expect", "nothing"] => client.nothing(&context),
                 ["client", "expect", ref wanted @ ..] => {
                     let got = client.answer(&context);
+                    answered = Instant::now();
                     assert_eq!(got, wanted.join(" "), "{context}");
                     seen.push(format!("client {got}"));
                 }
+                ["worker", "expect", "nothing", "later"] => {
+                    while let Ok(again) = self.calls.recv_timeout(QUIET) {
+                        assert!(again.came < answered, "{context}: a call came after the answer");
+                        let told = |c: &Call| [c.class.clone(), c.key.clone(), c.body.clone()];
+                        let before = last.as_ref().expect(&context);
+                        assert_eq!((told(&again), again.hall), (told(before), before.hall), "{context}");
+                    }
+                }
                 ["worker", "expect", "nothing"] => {
                     assert!(self.calls.recv_timeout(QUIET).is_err(), "{context}: a call came");
                 }
@@ -783,6 +795,7 @@
                 let stream = stream.try_clone().expect("cloned");
                 let _ = seen.send(Call {
                     speech: Speech::Platform,
+                    came: Instant::now(),
                     hall,
                     id,
                     class,
@@ -817,6 +830,7 @@
             let stream = stream.try_clone().expect("cloned");
             let _ = seen.send(Call {
                 speech: Speech::Kserve,
+                came: Instant::now(),
                 hall,
                 id: 0,
                 class,
--- a/heronslip/tests/fronts.rs
+++ b/heronslip/tests/fronts.rs
@@ -28,7 +28,7 @@
     client send tile-order k5 five 400
     worker expect tile-order k5 five
     client expect failed
-    worker expect nothing
+    worker expect nothing later
 ";
 
 /// A connection that is of no further use ends, and what was open on it goes elsewhere, once.
