--- a/adapter/src/main.rs
+++ b/adapter/src/main.rs
@@ -195,7 +195,12 @@
             outcome: outcome(fields)?,
             elapsed: span(fields, "elapsed"),
         },
-        "PONG" | "MAIL" | "ACK_FIRST" => return Ok(()), // the module probes, mails and streams nothing
+        "PONG" => Event::Probed {
+            worker: text(fields, "host")?.to_owned(),
+            outcome: outcome(fields)?,
+            inflight: part(fields, "feedback").and_then(|f| number(f, "busy_reqs")),
+        },
+        "MAIL" | "ACK_FIRST" => return Ok(()), // the module mails and streams nothing
         _ => return Err("unknown event".into()),
     };
     instance.controller.handle(now, event, actions);
@@ -240,6 +245,7 @@
             ("START_COPY", vec![host(worker), image(function), ("copies", count(copies.into()))])
         }
         Action::Drop { worker, function } => ("RELEASE_IDLE", vec![host(worker), image(function)]),
+        Action::Probe { worker } => ("INSPECT", vec![host(worker)]),
         Action::Watch => ("WATCH", vec![("on", Value::Bool(true))]),
         Action::Log { text } => ("JOURNAL_LINE", vec![msg(text)]),
     };
--- a/heronslip/src/core/mod.rs
+++ b/heronslip/src/core/mod.rs
@@ -16,6 +16,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::Arc;
+use std::time::Instant;
 use timers::{Due, Timers};
 
 const SWEEP: Micros = 1_000_000; // period in which idle connections are looked for
@@ -78,6 +79,8 @@
     wire_ids: HashSet<u64>,
     peers: Peers,
     orders: HashMap<u64, (String, u64, Micros)>,
+    /// The probes that are out, and the workers that they went to.
+    probes: HashMap<u64, String>,
     timers: Timers,
     events: VecDeque<Event>,
     counts: Vec<Counts>,
@@ -105,6 +108,7 @@
             wire_ids: HashSet::new(),
             peers: Peers::default(),
             orders: HashMap::new(),
+            probes: HashMap::new(),
             timers: Timers::default(),
             events: VecDeque::new(),
             counts,
@@ -156,6 +160,8 @@
             }
             Message::Ended(key, report) => self.ended(key, report),
             Message::Ordered(order, outcome, copies) => self.ordered(order, outcome, copies),
+            Message::Probed(probe, outcome, inflight) => self.probed(probe, outcome, inflight),
+            Message::Discovery(state) => self.events.push_back(Event::Discovery { state }),
             Message::Members { source, full, members } => self.members(source, full, members),
             Message::Inspect(reply) => {
                 let _ = reply.send(self.inspect()); // who asked may have left
@@ -299,6 +305,12 @@
         self.events.push_back(Event::Loaded { worker, function, count, outcome, elapsed });
     }
 
+    fn probed(&mut self, probe: u64, outcome: Outcome, inflight: Option<f64>) {
+        if let Some(worker) = self.probes.remove(&probe) {
+            self.events.push_back(Event::Probed { worker, outcome, inflight });
+        }
+    }
+
     fn due(&mut self, due: Due) {
         match due {
             Due::Module(token) => self.events.push_back(Event::Timer { token }),
@@ -320,6 +332,13 @@
                 }
                 self.ordered(order, Outcome::Timeout, 0);
             }
+            Due::Probe(probe) => {
+                let worker = self.probes.get(&probe);
+                if let Some(peer) = worker.and_then(|w| self.peers.get_mut(w)) {
+                    peer.transports().for_each(|t| t.lapse(probe));
+                }
+                self.probed(probe, Outcome::Timeout, None);
+            }
             Due::Request(id) => {
                 self.answer(id, Answer::Failed);
                 self.forget(id);
@@ -381,13 +400,26 @@
                 // Guards rule 3 whatever the module thinks: no order to load goes to a worker that drains.
                 let may = |p: &&mut Peer| p.member.state == WorkerState::Ready || count == 0;
                 let room = self.make_room(&worker, true);
+                let until = self.until(&worker);
                 match self.peers.reach(&worker).filter(may) {
-                    Some(peer) if room => peer.transport.order(order, function, count),
+                    Some(peer) if room => peer.transport.order(order, function, count, until),
                     Some(_) => self.reports.ordered(order, Outcome::Moot, 0),
                     None => self.reports.ordered(order, Outcome::ConnectFailed, 0),
                 }
                 self.timers.set(now + self.limits.order, Due::Order(order));
             }
+            Action::Probe { worker } => {
+                self.last += 1;
+                let probe = self.last;
+                let room = self.make_room(&worker, true);
+                match self.peers.reach(&worker) {
+                    Some(peer) if room => peer.transport.probe(probe),
+                    Some(_) => self.reports.probed(probe, Outcome::Moot, None),
+                    None => self.reports.probed(probe, Outcome::ConnectFailed, None),
+                }
+                self.probes.insert(probe, worker);
+                self.timers.set(now + self.limits.probe, Due::Probe(probe));
+            }
             Action::Drop { worker, function } => {
                 let room = self.make_room(&worker, true);
                 if let Some(peer) = self.peers.reach(&worker).filter(|_| room) {
@@ -399,6 +431,12 @@
         }
     }
 
+    /// Until when the first byte of something new may go to a worker. The module's decision may wait for a
+    /// connection or a full socket, and what it rests on may run out meanwhile.
+    fn until(&self, worker: &str) -> Option<Instant> {
+        self.controller.lease_of(worker).map(|end| self.clock.instant(end))
+    }
+
     /// Whether an exchange with a worker finds a connection or may open one. Guards the descriptors: where
     /// connections are at their bound, a part of them makes way, those idle for longest first. Orders leave a
     /// quarter to calls: a new function may be asked for at all workers at once.
@@ -434,9 +472,10 @@
         let owed = !open.answered && budget > 0;
         let room = owed && self.make_room(&worker, false);
         let ready = |p: &&mut Peer| p.member.state == WorkerState::Ready;
+        let until = self.until(&worker);
         match self.peers.reach(&worker).filter(ready) {
             Some(peer) if room => {
-                peer.transport.send(key, &request, budget);
+                peer.transport.send(key, &request, budget, until);
                 self.timers.set(now.saturating_add(budget), Due::Attempt(key));
             }
             _ => {
--- a/heronslip/src/core/timers.rs
+++ b/heronslip/src/core/timers.rs
@@ -16,6 +16,8 @@
     Attempt(AttemptKey),
     /// An order's time is up.
     Order(u64),
+    /// A probe's time is up.
+    Probe(u64),
     /// A request's client leaves.
     Request(u64),
     /// Time to look whether connections to workers still answer.
--- a/heronslip/src/discovery/client.rs
+++ b/heronslip/src/discovery/client.rs
@@ -9,6 +9,7 @@
 use crate::messages::{Member, Message, Speech};
 use crate::net::timed_out;
 use crate::ring::Ring;
+use heronslip_policy::DiscoveryState;
 use may::net::TcpStream;
 use may::sync::Mutex;
 use std::io::Write;
@@ -79,6 +80,8 @@
     last: u64,
     /// The event after it that could not be used when it came first.
     spoilt: Option<u64>,
+    /// What the core was told last of discovery.
+    state: Option<DiscoveryState>,
 }
 
 /// An event on its way.
@@ -94,7 +97,7 @@
     /// Nothing is known yet.
     pub fn new(limits: &Limits, core: Sender<Message>) -> Self {
         let bounds = EventBounds { entry_bytes: limits.board_entry, entries: limits.board_entries };
-        Follower { table: Table::default(), bounds, core, last: 0, spoilt: None }
+        Follower { table: Table::default(), bounds, core, last: 0, spoilt: None, state: None }
     }
 
     /// Takes over an event that was told with the configuration; whether all of it could be read.
@@ -111,6 +114,22 @@
         self.last = number;
     }
 
+    /// All that the board has to tell has been read. Told each time that it is seen: the core may have doubted it.
+    fn is_current(&mut self) {
+        if self.state.replace(DiscoveryState::Current) != Some(DiscoveryState::Current) {
+            log!("board: current, after event {}", self.last);
+        }
+        let _ = self.core.send(Message::Discovery(DiscoveryState::Current));
+    }
+
+    /// The board may have more to tell than was heard.
+    fn is_lost(&mut self) {
+        if self.state.replace(DiscoveryState::Lost) != Some(DiscoveryState::Lost) {
+            log!("board: lost, after event {}", self.last);
+            let _ = self.core.send(Message::Discovery(DiscoveryState::Lost));
+        }
+    }
+
     fn begin(&mut self) -> Incoming {
         let staged = self.table.begin();
         Incoming { reader: EventReader::new(self.bounds), staged, error: None, bytes: 0 }
@@ -184,7 +203,9 @@
     loop {
         let (at, before) = (board.address(), follower.last);
         if let Some(address) = at {
+            follower.is_lost();
             if let Err(why) = watch(board, address, &mut follower, limits) {
+                follower.is_lost();
                 note!("board: connection to {address} ended after event {}: {why}", follower.last);
             }
         }
@@ -210,12 +231,18 @@
     stream.write_all(call.as_bytes())?;
     let mut answer = Answer::new(follower, limits);
     let mut heard = Instant::now();
+    let mut unsettled = false;
     let mut ring = Ring::new(limits.client_ring);
     loop {
         match ring.fill(&mut stream) {
             Ok(0) => return Err(WatchError::Closed),
             Ok(_) => {}
-            Err(e) if timed_out(&e) => {}
+            // A word, and nothing behind it that is still to be read: the board has told what it had to tell.
+            Err(e) if timed_out(&e) => {
+                if answer.incoming.is_none() && std::mem::take(&mut unsettled) {
+                    answer.follower.is_current();
+                }
+            }
             Err(e) => return Err(e.into()),
         }
         // Guards against waiting at an address where nothing is told any more.
@@ -233,6 +260,7 @@
         }
         if word {
             heard = Instant::now();
+            unsettled = true;
         } else if heard.elapsed() >= limits.board_silence {
             return Err(WatchError::Silent);
         }
--- a/heronslip/src/limits.rs
+++ b/heronslip/src/limits.rs
@@ -73,6 +73,8 @@
     pub link_check: Micros,
     /// How often a stalled write looks for cancels and drains.
     pub write_check: Duration,
+    /// A probe unanswered for this long has timed out.
+    pub probe: Micros,
     /// An order unanswered for this long has timed out.
     pub order: Micros,
     /// A notice board silent for this long (it comments each second) is called anew.
@@ -105,6 +107,8 @@
         let longest = settings.classes.iter().map(|c| c.give_up).max().unwrap_or(0);
         let client_connections = sockets * 2 / 5;
         let idle = span(settings.connection_idle, 15_000);
+        let connect = span(settings.connect_timeout, 250);
+        let link_answer = Duration::from_millis(200);
         Limits {
             body: 16 * 1024,
             head: 16 * 1024,
@@ -133,14 +137,16 @@
             answer_margin: 80_000,
             default_wait: 4_000_000,
             lanes_per_worker: (sockets / 128).max(2),
-            connect: span(settings.connect_timeout, 250),
+            connect,
             worker_idle: idle.saturating_sub(idle / 5),
             write_stall: Duration::from_secs(5),
             frame_stall: Duration::from_millis(200),
             link_quiet: word_after(settings),
-            link_answer: Duration::from_millis(200),
+            link_answer,
             link_check: 50_000,
             write_check: Duration::from_millis(50),
+            // A connection for it may have to be opened first; its answer is a link's word like any other.
+            probe: (connect + link_answer).as_micros() as Micros,
             order: if settings.order_timeout > 0 { settings.order_timeout } else { 10_000_000 },
             board_silence: Duration::from_millis(2_500), // what a silent board has to tell counts 4 s on
             board_check: Duration::from_millis(50),
--- a/heronslip/src/messages.rs
+++ b/heronslip/src/messages.rs
@@ -1,7 +1,7 @@
 //! The messages between fronts, core, discovery and transports: requests, answers, reports and workers. No wire
 //! shows here, and nothing here depends on those who use it.
 use crate::limits::Held;
-use heronslip_policy::{FunctionId, Micros, Outcome, WorkerState};
+use heronslip_policy::{DiscoveryState, FunctionId, Micros, Outcome, WorkerState};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -171,6 +171,10 @@
     Ended(AttemptKey, Report),
     /// An order to load ended: its number, outcome and the copies that stand.
     Ordered(u64, Outcome, u32),
+    /// A probe ended: its number, outcome and the requests that the worker reports to hold.
+    Probed(u64, Outcome, Option<f64>),
+    /// Discovery of the platform's workers was lost, or is current.
+    Discovery(DiscoveryState),
     /// News of the list of workers of one source; `full` lists replace what that source told.
     Members {
         /// Which source told.
--- a/heronslip/src/worker/frames.rs
+++ b/heronslip/src/worker/frames.rs
@@ -18,8 +18,12 @@
 const FROM_WORKER: u8 = 127;
 const CALL: u8 = 2;
 const GIVE_UP: u8 = 3;
+const PROBE: u8 = 5;
 const HOLD: u8 = 6;
 const UNLOAD: u8 = 8;
+/// Answers to a probe.
+const TAKES_WORK: u8 = 206;
+const TAKES_NO_WORK: u8 = 207;
 const HEADER: usize = 16;
 const CHECK: usize = 4;
 /// Ids kept of the past: an answer crosses its give-up, or comes twice, within some calls of it.
@@ -120,6 +124,8 @@
         203 => Outcome::Full,
         204 => Outcome::Error,
         205 => Outcome::Moot,
+        TAKES_WORK => Outcome::Ok,
+        TAKES_NO_WORK => Outcome::Full,
         _ => return None,
     })
 }
@@ -128,18 +134,47 @@
 enum What {
     Attempt(AttemptKey),
     Order(u64),
+    Probe(u64),
     /// A question of the connection's own, whose answer shows that it still carries any.
     Word,
 }
 
-/// What is to be written. Calls and orders to load wait for the connection, and may not go after a drain.
+impl What {
+    /// Whether answers of this code may come to it.
+    fn takes(self, code: u8) -> bool {
+        matches!(self, What::Probe(_)) == matches!(code, TAKES_WORK | TAKES_NO_WORK)
+    }
+}
+
+/// When the first byte of an exchange may still go.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Begin {
+    /// At any time: it is nothing new to the worker.
+    AnyTime,
+    /// As long as the worker is not known to drain, and before this where readiness is known for a time only.
+    WhileReady {
+        /// The end of that time.
+        until: Option<Instant>,
+    },
+}
+
+impl Begin {
+    fn is_over(self, retired: bool, now: Instant) -> bool {
+        match self {
+            Begin::AnyTime => false,
+            Begin::WhileReady { until } => retired || until.is_some_and(|until| now >= until),
+        }
+    }
+}
+
+/// What is to be written. Calls and orders to load wait for the connection, and may have to begin in time.
 enum Command {
     Open {
         what: What,
         id: u64,
         function: FunctionId,
         frame: Vec<u8>,
-        bound: bool,
+        begin: Begin,
     },
     Cancel(What),
     Plain(Vec<u8>),
@@ -255,10 +290,10 @@
         }
     }
 
-    fn open(&mut self, what: What, id: u64, function: FunctionId, bound: bool, frame: Vec<u8>) {
+    fn open(&mut self, what: What, id: u64, function: FunctionId, begin: Begin, frame: Vec<u8>) {
         let link = self.link();
         link.state.load.fetch_add(1, Ordering::AcqRel);
-        let _ = link.commands.send(Command::Open { what, id, function, frame, bound });
+        let _ = link.commands.send(Command::Open { what, id, function, frame, begin });
         // its timer ends it at last
     }
 }
@@ -279,9 +314,10 @@
 }
 
 impl Transport for Frames {
-    fn send(&mut self, key: AttemptKey, request: &Arc<Request>, budget: Micros) {
+    fn send(&mut self, key: AttemptKey, request: &Arc<Request>, budget: Micros, until: Option<Instant>) {
         let frame = encode(CALL, request.wire_id, &call_fields(request, budget), request.payload.bytes());
-        self.open(What::Attempt(key), request.wire_id, request.function, true, frame);
+        let begin = Begin::WhileReady { until };
+        self.open(What::Attempt(key), request.wire_id, request.function, begin, frame);
     }
 
     fn cancel(&mut self, key: AttemptKey) {
@@ -290,6 +326,7 @@
 
     fn lapse(&mut self, order: u64) {
         self.give_up(What::Order(order));
+        self.give_up(What::Probe(order));
     }
 
     fn is_idle(&self) -> bool {
@@ -311,11 +348,18 @@
         }
     }
 
-    fn order(&mut self, order: u64, function: FunctionId, copies: u32) {
+    fn order(&mut self, order: u64, function: FunctionId, copies: u32, until: Option<Instant>) {
         // Orders' ids come from the far end of the range, away from chance: clients draw theirs at random.
         let id = u64::MAX - order;
         let frame = hold(id, function, copies);
-        self.open(What::Order(order), id, function, copies > 0, frame);
+        let begin = if copies > 0 { Begin::WhileReady { until } } else { Begin::AnyTime };
+        self.open(What::Order(order), id, function, begin, frame);
+    }
+
+    fn probe(&mut self, probe: u64) {
+        let id = u64::MAX - probe;
+        let frame = encode(PROBE, id, "", &[]);
+        self.open(What::Probe(probe), id, 0, Begin::AnyTime, frame);
     }
 
     fn unload(&mut self, function: FunctionId) {
@@ -333,7 +377,8 @@
         let limits = self.limits.clone();
         for link in self.links.iter_mut().filter(|l| !l.state.broken.load(Ordering::Acquire)) {
             let Ok(table) = link.state.table.lock() else { continue };
-            let open = || table.open.values().filter(|e| e.what != What::Word);
+            // A probe names no function that a question could be about, and ends by its own short time.
+            let open = || table.open.values().filter(|e| !matches!(e.what, What::Word | What::Probe(_)));
             let oldest = open().min_by_key(|e| e.since).map(|e| (e.since, e.function));
             let heard = table.heard;
             let new = open().any(|e| heard.is_none_or(|h| e.since > h));
@@ -353,7 +398,8 @@
                         let (id, what) = (u64::MAX / 2 - connection_number(), What::Word);
                         link.state.load.fetch_add(1, Ordering::AcqRel);
                         let frame = hold(id, function, 0);
-                        let _ = link.commands.send(Command::Open { what, id, function, frame, bound: false });
+                        let begin = Begin::AnyTime;
+                        let _ = link.commands.send(Command::Open { what, id, function, frame, begin });
                         link.asked = Some(Instant::now());
                     }
                 }
@@ -387,11 +433,18 @@
 struct Outbound {
     begin: u64,
     end: u64,
-    /// The exchange that it opens, and whether it may not go after a drain.
-    opens: Option<(u64, bool)>,
+    /// The exchange that it opens, and when it may still begin.
+    opens: Option<(u64, Begin)>,
+}
+
+impl Outbound {
+    /// Whether it may not go any more, as none of its bytes has left.
+    fn is_over(&self, written: u64, retired: bool, now: Instant) -> bool {
+        self.begin >= written && self.opens.is_some_and(|(_, begin)| begin.is_over(retired, now))
+    }
 }
 
-/// What a drain did to the frames in the ring.
+/// What was taken back of the frames in the ring.
 #[derive(Debug, Default, PartialEq)]
 pub struct Withheld {
     /// The exchanges whose frames were taken back.
@@ -421,9 +474,9 @@
         self.ring.front()
     }
 
-    /// Puts a frame in that fits; `opens` names the exchange it opens, and whether it may not go after a drain.
-    /// Tells where in the stream it ends.
-    pub fn push(&mut self, frame: &[u8], opens: Option<(u64, bool)>) -> u64 {
+    /// Puts a frame in that fits; `opens` names the exchange it opens, and when that may still begin. Tells where in
+    /// the stream it ends.
+    pub fn push(&mut self, frame: &[u8], opens: Option<(u64, Begin)>) -> u64 {
         let begin = self.end;
         self.end += self.ring.push(frame) as u64;
         self.frames.push_back(Outbound { begin, end: self.end, opens });
@@ -440,17 +493,22 @@
         self.written
     }
 
-    /// After a drain: takes back what may not go any more, as long as none of its bytes has left. All else
-    /// stays: what an order to give up meant would otherwise be out still, beside the attempt that follows it.
-    pub fn withhold(&mut self) -> Withheld {
+    /// Takes back what may not go any more, as long as none of its bytes has left; `retired` tells that the worker
+    /// drains. All else stays: what an order to give up meant would otherwise be out still, beside the attempt that
+    /// follows it.
+    pub fn withhold(&mut self, retired: bool, now: Instant) -> Withheld {
+        if !self.frames.iter().any(|frame| frame.is_over(self.written, retired, now)) {
+            return Withheld::default();
+        }
         let mut bytes = Vec::new();
         self.ring.take(usize::MAX, &mut bytes);
         let (mut withheld, start) = (Withheld::default(), self.written);
         self.end = self.written;
         for mut frame in std::mem::take(&mut self.frames) {
             let begun = frame.begin < start;
+            let over = frame.is_over(start, retired, now);
             match frame.opens {
-                Some((id, true)) if !begun => withheld.ids.push(id),
+                Some((id, _)) if over => withheld.ids.push(id),
                 opens => {
                     let from = frame.begin.max(start);
                     let content = &bytes[(from - start) as usize..(frame.end - start) as usize];
@@ -479,9 +537,15 @@
 
 fn report(reports: &Reports, state: &State, what: What, outcome: Outcome) {
     state.load.fetch_sub(1, Ordering::AcqRel);
+    report_open(reports, what, outcome);
+}
+
+/// Reports the end of an exchange that its connection does not count any more.
+fn report_open(reports: &Reports, what: What, outcome: Outcome) {
     match what {
         What::Attempt(key) => reports.ended(key, Report::bare(outcome)),
         What::Order(order) => reports.ordered(order, outcome, 0),
+        What::Probe(probe) => reports.probed(probe, outcome, None),
         What::Word => {}
     }
 }
@@ -563,9 +627,7 @@
                 return Err("given up".to_owned());
             }
             self.apply_cancels();
-            if self.state.retired.load(Ordering::Acquire) {
-                self.withhold();
-            }
+            self.withhold();
             self.fill()?;
             if self.outgoing.is_empty() {
                 return Ok(());
@@ -603,19 +665,22 @@
         }
     }
 
-    /// After a drain: takes back what waits and what lies unbegun in the ring, as long as none of its bytes left.
+    /// Takes back what waits and what lies unbegun in the ring and may not go any more: after a drain, or because its
+    /// time to begin is over.
     fn withhold(&mut self) {
-        let mut kept = VecDeque::new();
-        for command in std::mem::take(&mut self.waiting) {
-            match command {
-                Command::Open { what, bound: true, .. } => {
-                    report(&self.reports, &self.state, what, Outcome::Moot);
-                }
-                other => kept.push_back(other),
+        let (retired, now) = (self.state.retired.load(Ordering::Acquire), Instant::now());
+        let (state, reports) = (&self.state, &self.reports);
+        self.waiting.retain(|command| match command {
+            Command::Open { what, begin, .. } if begin.is_over(retired, now) => {
+                report(reports, state, *what, Outcome::Moot);
+                false
             }
+            _ => true,
+        });
+        let withheld = self.outgoing.withhold(retired, now);
+        if withheld == Withheld::default() {
+            return;
         }
-        self.waiting = kept;
-        let withheld = self.outgoing.withhold();
         let Ok(mut table) = self.state.table.lock() else { return };
         for (id, end) in withheld.moved {
             if let Some(exchange) = table.open.get_mut(&id) {
@@ -633,8 +698,8 @@
     fn fill(&mut self) -> Result<(), String> {
         while let Some(command) = self.waiting.front() {
             let (len, what) = match command {
-                Command::Open { frame, what, id, function, bound } => {
-                    (frame.len(), Some((*what, *id, *function, *bound)))
+                Command::Open { frame, what, id, function, begin } => {
+                    (frame.len(), Some((*what, *id, *function, *begin)))
                 }
                 Command::Plain(frame) => (frame.len(), None),
                 Command::Close => (0, None),
@@ -655,7 +720,7 @@
                     _ => continue, // an order stands, whether its answer is awaited or not
                 },
             };
-            let Some((what, id, function, bound)) = what else {
+            let Some((what, id, function, begin)) = what else {
                 self.outgoing.push(&frame, None);
                 continue;
             };
@@ -668,7 +733,7 @@
                 report(&self.reports, &self.state, what, outcome);
                 continue;
             }
-            let end = self.outgoing.push(&frame, Some((id, bound)));
+            let end = self.outgoing.push(&frame, Some((id, begin)));
             table.open.insert(id, Exchange { what, end, since: Instant::now(), function });
         }
         Ok(())
@@ -727,10 +792,16 @@
         };
         // An answer to what has ended already comes late and is dropped.
         let Some(exchange) = exchange else { continue };
+        let fits = exchange.what.takes(frame.code);
         state.load.fetch_sub(1, Ordering::AcqRel);
         let number = |name: &str| frame.field(name).and_then(|v| v.parse().ok());
+        if !fits {
+            report_open(reports, exchange.what, Outcome::Reset);
+            return Err(format!("code {} to another command", frame.code));
+        }
         match exchange.what {
             What::Order(order) => reports.ordered(order, outcome, number("slots_up").unwrap_or(0)),
+            What::Probe(probe) => reports.probed(probe, outcome, frame.inflight()),
             What::Word => {}
             What::Attempt(key) => {
                 let warm = match frame.field("detail") {
--- a/heronslip/src/worker/kserve.rs
+++ b/heronslip/src/worker/kserve.rs
@@ -156,7 +156,8 @@
 }
 
 impl Transport for Kserve {
-    fn send(&mut self, key: AttemptKey, request: &Arc<Request>, budget: Micros) {
+    // These workers are listed by a file: what is known of them does not run out.
+    fn send(&mut self, key: AttemptKey, request: &Arc<Request>, budget: Micros, _until: Option<Instant>) {
         let path = format!("/v2/models/{:016x}/infer", request.function);
         let (bytes, foreign) = match &request.payload {
             Payload::Json(body) => (self.post(&path, budget, body), false),
@@ -187,7 +188,7 @@
 
     fn close_idle(&mut self) {}
 
-    fn order(&mut self, order: u64, function: FunctionId, copies: u32) {
+    fn order(&mut self, order: u64, function: FunctionId, copies: u32, _until: Option<Instant>) {
         let bytes = if copies > 0 {
             let told = map(vec![("slots_up", Value::Number(Number::U64(copies.into())))]);
             let body = json::to_string(&map(vec![("parameters", told)]));
@@ -199,6 +200,10 @@
         self.start(What::Order(order, function, copies), bytes, copies > 0, self.limits.order);
     }
 
+    fn probe(&mut self, probe: u64) {
+        self.reports.probed(probe, Outcome::Ok, None); // as its file tells
+    }
+
     fn unload(&mut self, function: FunctionId) {
         let path = format!("/v2/repository/models/{function:016x}/unload");
         let bytes = self.post(&path, self.limits.order, b"{}");
--- a/heronslip/src/worker/mod.rs
+++ b/heronslip/src/worker/mod.rs
@@ -24,15 +24,20 @@
     pub fn ordered(&self, order: u64, outcome: Outcome, copies: u32) {
         let _ = self.0.send(Message::Ordered(order, outcome, copies));
     }
+
+    /// A probe ended.
+    pub fn probed(&self, probe: u64, outcome: Outcome, inflight: Option<f64>) {
+        let _ = self.0.send(Message::Probed(probe, outcome, inflight));
+    }
 }
 
 /// The way to one worker. No call blocks; everything is carried out by coroutines.
 pub trait Transport: Send {
-    /// Sends an attempt; exactly one report follows, unless it is cancelled first.
-    fn send(&mut self, key: AttemptKey, request: &Arc<Request>, budget: Micros);
+    /// Sends an attempt, of which no byte goes after `until`; exactly one report follows, unless it is cancelled first.
+    fn send(&mut self, key: AttemptKey, request: &Arc<Request>, budget: Micros, until: Option<Instant>);
     /// Gives an attempt up; what is not yet written is not written.
     fn cancel(&mut self, key: AttemptKey);
-    /// Gives an order's answer up: it is awaited no more.
+    /// Gives the answer to an order or a probe up: it is awaited no more.
     fn lapse(&mut self, order: u64);
     /// Whether no connection is left.
     fn is_idle(&self) -> bool;
@@ -42,8 +47,10 @@
     fn idle_since(&self) -> Option<Instant>;
     /// Closes that connection.
     fn close_idle(&mut self);
-    /// Orders the worker to hold copies; 0 only asks.
-    fn order(&mut self, order: u64, function: FunctionId, copies: u32);
+    /// Orders the worker to hold copies; 0 only asks. Of an order for copies no byte goes after `until`.
+    fn order(&mut self, order: u64, function: FunctionId, copies: u32, until: Option<Instant>);
+    /// Asks the worker whether it takes work. Probes and orders are numbered as one.
+    fn probe(&mut self, probe: u64);
     /// Has idle copies unloaded.
     fn unload(&mut self, function: FunctionId);
     /// The worker drains or is gone: calls and orders of which no byte is written yet are not written.
--- a/heronslip/tests/leaving.rs
+++ b/heronslip/tests/leaving.rs
@@ -46,7 +46,7 @@
         reading: None,
     };
     let key = AttemptKey { request: 1, attempt: 0 };
-    transport.send(key, &Arc::new(request), 60_000_000);
+    transport.send(key, &Arc::new(request), 60_000_000, None);
     transport.cancel(key);
     let accepted: Vec<TcpStream> = (0..=fillers.len()).map(|_| listener.accept().expect("one").0).collect();
     // What waits is written before the connection is let go.
--- a/heronslip/tests/transport.rs
+++ b/heronslip/tests/transport.rs
@@ -1,7 +1,7 @@
 //! The transport of frames against sockets: what it writes, and when it lets connections go.
 use heronslip::limits::Limits;
 use heronslip::messages::{AttemptKey, Message, Payload, Request};
-use heronslip::worker::frames::{encode, Frames, Outgoing, Withheld};
+use heronslip::worker::frames::{encode, Begin, Frames, Outgoing, Withheld};
 use heronslip::worker::{Reports, Transport};
 use heronslip_policy::{Outcome, Settings};
 use rstest::rstest;
@@ -33,7 +33,7 @@
     limits.connect = Duration::from_secs(20);
     let (queue, reports) = mpsc::channel();
     let mut transport = frames(address, limits, queue);
-    transport.order(1, 7, 1);
+    transport.order(1, 7, 1, None);
     transport.retire();
     let accepted: Vec<TcpStream> = (0..=fillers.len()).map(|_| listener.accept().expect("one").0).collect();
     match reports.recv_timeout(Duration::from_secs(20)) {
@@ -55,7 +55,7 @@
     let address = listener.local_addr().expect("bound");
     let (queue, _reports) = mpsc::channel();
     let mut transport = frames(address, Limits::new(192, 1024, &Settings::default()), queue);
-    transport.order(1, 7, 1);
+    transport.order(1, 7, 1, None);
     let (mut stream, _) = listener.accept().expect("a connection");
     stream.read_exact(&mut [0; 52]).expect("the order");
     transport.lapse(1);
@@ -121,7 +121,7 @@
     let address = listener.local_addr().expect("bound");
     let (queue, reports) = mpsc::channel();
     let mut transport = frames(address, Limits::new(192, 1024, &Settings::default()), queue);
-    transport.send(AttemptKey { request: 1, attempt: 0 }, &request(9), 1_000_000);
+    transport.send(AttemptKey { request: 1, attempt: 0 }, &request(9), 1_000_000, None);
     let (mut stream, _) = listener.accept().expect("a connection");
     let (_, id, _) = command(&mut stream);
     reply(&mut stream, 203, id, fields);
@@ -150,16 +150,17 @@
     let frame = |code, id| encode(code, id, "queue=c,path=7", b"body");
     let (begun, unbegun, give_up) = (frame(2, 1), frame(2, 2), encode(3, 9, "", b""));
     let (question, last) = (frame(6, 3), frame(2, 4));
+    let (new, now) = (Begin::WhileReady { until: None }, Instant::now());
     let mut outgoing = Outgoing::new(4096);
-    outgoing.push(&begun, Some((1, true)));
-    outgoing.push(&unbegun, Some((2, true)));
+    outgoing.push(&begun, Some((1, new)));
+    outgoing.push(&unbegun, Some((2, new)));
     outgoing.push(&give_up, None);
-    outgoing.push(&question, Some((3, false)));
-    outgoing.push(&last, Some((4, true)));
+    outgoing.push(&question, Some((3, Begin::AnyTime)));
+    outgoing.push(&last, Some((4, new)));
     let mut left = leave(&mut outgoing, 5);
     let end = (begun.len() + give_up.len() + question.len()) as u64;
-    assert_eq!(outgoing.withhold(), Withheld { ids: vec![2, 4], moved: vec![(3, end)] });
-    assert_eq!(outgoing.withhold(), Withheld::default(), "once");
+    assert_eq!(outgoing.withhold(true, now), Withheld { ids: vec![2, 4], moved: vec![(3, end)] });
+    assert_eq!(outgoing.withhold(true, now), Withheld::default(), "once");
     left.extend(leave(&mut outgoing, usize::MAX));
     assert_eq!(left, [begun, give_up, question].concat());
 }
@@ -182,7 +183,7 @@
     let limits = Limits::new(192, 1024, &Settings::default());
     let mut transport = frames(listener.local_addr().expect("bound"), limits, queue);
     let [first, second] = [1, 2].map(|request| AttemptKey { request, attempt: 0 });
-    transport.send(first, &request(9), 1_000_000);
+    transport.send(first, &request(9), 1_000_000, None);
     let (mut stream, _) = listener.accept().expect("a connection");
     assert_eq!(command(&mut stream).0, 2);
     if served {
@@ -192,7 +193,7 @@
         transport.cancel(first);
         assert_eq!(command(&mut stream).0, 3);
     }
-    transport.send(second, &request(9), 1_000_000);
+    transport.send(second, &request(9), 1_000_000, None);
     reply(&mut stream, 200, 9, ""); // the answer to the first crosses
     assert_eq!(ended(&reports), (second, Outcome::Moot));
 }
@@ -207,7 +208,7 @@
     let mut stream = None;
     for (attempt, (code, outcome)) in [(203, Outcome::Full), (200, Outcome::Ok)].into_iter().enumerate() {
         let key = AttemptKey { request: 1, attempt };
-        transport.send(key, &request(9), 1_000_000);
+        transport.send(key, &request(9), 1_000_000, None);
         let stream = stream.get_or_insert_with(|| listener.accept().expect("a connection").0);
         assert_eq!(command(stream).0, 2);
         reply(stream, code, 9, "");
--- a/scale/src/fleet/engine.rs
+++ b/scale/src/fleet/engine.rs
@@ -11,7 +11,7 @@
 use crate::world::{Change, List, ListEvent, Reply, Schedule, Timed, World};
 use heronslip::discovery::backoff::Backoff;
 use heronslip::limits::Limits;
-use heronslip_policy::{Micros, Settings};
+use heronslip_policy::{DiscoveryState, Micros, Settings};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use rayon::prelude::*;
@@ -194,7 +194,7 @@
     fn deliver(&mut self, at: Micros, worker: usize, reply: Reply) {
         let front_end = match reply {
             Reply::Ended { call, .. } => call.front_end,
-            Reply::Held { front_end, .. } => front_end,
+            Reply::Held { front_end, .. } | Reply::Probed { front_end, .. } => front_end,
         };
         let arrives = at + self.way(front_end, worker);
         self.front_ends[front_end].put(arrives, Incoming::Reply(reply));
@@ -247,7 +247,7 @@
                 let event = self.list.replaced(now, &which);
                 self.tell(now, &event);
             }
-            Change::BoardCut(which) => which.into_iter().for_each(|n| self.watches[n].cut = Some(now)),
+            Change::BoardCut(which) => which.into_iter().for_each(|n| self.cut(now, n)),
             Change::BoardHealed(which) => which.into_iter().for_each(|n| self.heal(now, n)),
         }
     }
@@ -292,6 +292,14 @@
         open.into_iter().for_each(|number| self.told(number, self.clock.now()));
     }
 
+    /// The board falls silent: the front end's program gives its connection up when it has heard nothing for long.
+    fn cut(&mut self, now: Micros, n: usize) {
+        self.watches[n].cut = Some(now);
+        let limits = Limits::new(LIMITS.0, LIMITS.1, &self.settings);
+        let lost = now + limits.board_silence.as_micros() as Micros;
+        self.front_ends[n].put(lost, Incoming::Discovery(DiscoveryState::Lost));
+    }
+
     /// The board can be reached again: the front end calls it at its next try and is told what it missed.
     fn heal(&mut self, now: Micros, n: usize) {
         let cut = self.watches[n].cut.take();
@@ -314,6 +322,7 @@
                 self.front_ends[n].put(back, Incoming::Whole(self.list.last(), whole));
             }
         }
+        self.front_ends[n].put(back, Incoming::Discovery(DiscoveryState::Current));
         self.watches[n] = Watch { cut: None, told: self.list.last(), last_at: back };
         self.heals.add(back.saturating_sub(now));
     }
--- a/scale/src/fleet/front_end.rs
+++ b/scale/src/fleet/front_end.rs
@@ -3,7 +3,9 @@
 use crate::catalogue::Catalogue;
 use crate::time::{milliseconds, SECOND};
 use crate::world::{worker_number, CallOut, Command, ListEvent, Reply};
-use heronslip_policy::{Action, Controller, Entry, Event, Footprint, Micros, Outcome, Settings};
+use heronslip_policy::{
+    Action, Controller, DiscoveryState, Entry, Event, Footprint, Micros, Outcome, Settings,
+};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use std::cmp::Reverse;
@@ -24,6 +26,8 @@
     Reply(Reply),
     /// An event of the board.
     List(Arc<ListEvent>),
+    /// The program's word on the board.
+    Discovery(DiscoveryState),
     /// The board's whole list, as it stood at an event's number.
     Whole(u64, Arc<Vec<Entry>>),
     /// A call that a client sends again, or that its own front end did not take.
@@ -71,6 +75,8 @@
     pub questions: u64,
     /// Orders to unload.
     pub unloads: u64,
+    /// Probes.
+    pub probes: u64,
 }
 
 struct Queued {
@@ -133,6 +139,8 @@
     open: BTreeMap<u64, Open>,
     /// Orders out: the worker's name, the function's rank, and since when.
     orders: BTreeMap<u64, (String, usize, Micros)>,
+    /// Probes out, and the workers probed.
+    probes: BTreeMap<u64, String>,
     /// When each worker was last sent something.
     connections: BTreeMap<usize, Micros>,
     ranks: Arc<BTreeMap<u64, usize>>,
@@ -185,6 +193,7 @@
             last: 0,
             open: BTreeMap::new(),
             orders: BTreeMap::new(),
+            probes: BTreeMap::new(),
             connections: BTreeMap::new(),
             ranks: common.ranks.clone(),
             order_counts: OrderCounts::default(),
@@ -295,6 +304,12 @@
             Incoming::Reply(Reply::Held { order, outcome, copies, .. }) => {
                 self.order_ended(order, outcome, copies)
             }
+            Incoming::Reply(Reply::Probed { probe, outcome, held, .. }) => {
+                if let Some(worker) = self.probes.remove(&probe) {
+                    self.feed(Event::Probed { worker, outcome, inflight: Some(held) });
+                }
+            }
+            Incoming::Discovery(state) => self.feed(Event::Discovery { state }),
             Incoming::List(event) => {
                 self.feed(Event::Members { full: false, entries: event.entries.clone() });
                 self.done.known.push((event.number, self.now));
@@ -447,6 +462,7 @@
                 self.connections.insert(worker, self.now);
                 self.done.commands.push((self.now, worker, Command::Unload(rank)));
             }
+            Action::Probe { worker } => self.probe(worker),
             Action::Timer { delay, token } => self.put(self.now + delay, Incoming::Timer(token)),
             Action::Watch | Action::Log { .. } => {}
         }
@@ -481,6 +497,16 @@
         self.open.values_mut().filter(waits).for_each(|o| o.awaits_load = true);
     }
 
+    fn probe(&mut self, name: String) {
+        let Some(worker) = worker_number(&name) else { return };
+        self.last += 1;
+        let (front_end, probe) = (self.number, self.last);
+        self.probes.insert(probe, name);
+        self.connections.insert(worker, self.now);
+        self.done.commands.push((self.now, worker, Command::Probe { front_end, probe }));
+        self.order_counts.probes += 1;
+    }
+
     fn refused(&mut self, id: u64, retry_after: Micros) {
         let Some(open) = self.open.get_mut(&id).filter(|o| !o.answered) else { return };
         open.answered = true;
--- a/scale/src/node/workers.rs
+++ b/scale/src/node/workers.rs
@@ -16,6 +16,8 @@
 const CALL: u8 = 2;
 const GIVE_UP: u8 = 3;
 const PROBES: [u8; 2] = [4, 5];
+const TAKES_WORK: u8 = 206;
+const TAKES_NO_WORK: u8 = 207;
 const HOLD: u8 = 6;
 const UNLOAD: u8 = 8;
 /// Front ends number their questions on a quiet connection down from the middle of the range of ids; orders are
@@ -52,7 +54,7 @@
     pub questions: Kind,
     /// Questions on a quiet connection.
     pub keep_alives: Kind,
-    /// Probes; a front end of this program sends none, so they are counted and not answered.
+    /// Probes: a front end that has lost the board asks workers whether they take work.
     pub probes: Kind,
     /// Connections accepted.
     pub accepted: AtomicU64,
@@ -181,7 +183,7 @@
             }
             code if PROBES.contains(&code) => {
                 self.traffic.probes.add(1, frame.bytes);
-                None
+                Some(Command::Probe { front_end, probe: id })
             }
             _ => None,
         }
@@ -244,6 +246,12 @@
             traffic.calls.add(0, bytes.len());
             (call.front_end, bytes)
         }
+        Reply::Probed { front_end, probe, outcome, held } => {
+            let code = if outcome == Outcome::Ok { TAKES_WORK } else { TAKES_NO_WORK };
+            let bytes = answer(code, probe, &format!("use=busy_reqs:{held:.2};x1:0"), &[]);
+            traffic.probes.add(0, bytes.len());
+            (front_end, bytes)
+        }
         Reply::Held { front_end, order, outcome, copies } => {
             let bytes = answer(code(outcome), order, &format!("slots_up={copies}"), &[]);
             let kind =
--- a/scale/src/world/worker.rs
+++ b/scale/src/world/worker.rs
@@ -42,6 +42,13 @@
     },
     /// Unload the idle copies of the function of this rank.
     Unload(usize),
+    /// Tell whether the worker takes work.
+    Probe {
+        /// Who asks.
+        front_end: usize,
+        /// The probe's number there.
+        probe: u64,
+    },
 }
 
 /// What a worker answers.
@@ -71,6 +78,17 @@
         /// Copies that stand.
         copies: u32,
     },
+    /// A probe ended.
+    Probed {
+        /// Who asked.
+        front_end: usize,
+        /// The probe's number there.
+        probe: u64,
+        /// How: a worker that runs takes work.
+        outcome: Outcome,
+        /// Calls that the worker holds, others' included.
+        held: f64,
+    },
 }
 
 /// What the world has done so far.
@@ -289,6 +307,11 @@
             Command::Hold { front_end, order, rank, copies } => {
                 self.hold(now, worker, (front_end, order), rank, copies);
             }
+            Command::Probe { front_end, probe } => {
+                let outcome = if up { Outcome::Ok } else { Outcome::ConnectFailed };
+                let held = f64::from(self.workers[worker].held) + self.others_held;
+                self.replies.push((now, worker, Reply::Probed { front_end, probe, outcome, held }));
+            }
             Command::Unload(rank) if up => self.unload(now, worker, rank),
             Command::Cancel(_) | Command::Unload(_) => {}
         }
--- a/src/control.rs
+++ b/src/control.rs
@@ -120,10 +120,13 @@
         let now = now.min(u64::MAX / 4);
         if now > self.last_event + STOOD_STILL {
             self.woke = now;
+            self.stood_still(self.last_event);
         }
         self.last_event = now;
         match event {
             Event::Members { full, entries } => self.members(now, full, entries, out),
+            Event::Discovery { state } => self.discovery(now, state),
+            Event::Probed { .. } => self.probed(now, event, out),
             Event::Request { id, .. } if self.requests.contains_key(&id) => {}
             Event::Request { .. } => self.request(now, event, out),
             Event::Outcome { .. } => self.outcome(now, event, out),
@@ -161,9 +164,12 @@
     }
 
     /// A refused or lost connection: the worker leaves the choice until it answers; its copies stay believed.
-    fn died(&mut self, w: usize, now: Micros) {
+    pub(crate) fn died(&mut self, w: usize, now: Micros) {
         self.workers[w].dead = true;
         self.workers[w].next_trial = now + TRIALS.0 / 4;
+        if self.discovery_lost() {
+            self.workers[w].unreachable_since.get_or_insert(now);
+        }
     }
 
     /// Guards against a worker that turns calls away. If it holds no more than others it picks by tenant or
@@ -186,8 +192,9 @@
     /// What part of its full capacity a started worker has for certain; `None` once it is warm.
     fn cold_share(&self, w: usize, now: Micros) -> Option<f64> {
         let (worker, within) = (&self.workers[w], self.set.warm_within);
-        let age = now.saturating_sub(worker.entry.started_at);
-        if worker.entry.started_at == 0 || self.set.fall_multiple <= 0.0 || age >= within {
+        let started_at = worker.entry.started_at.max(worker.cold_since);
+        let age = now.saturating_sub(started_at);
+        if started_at == 0 || self.set.fall_multiple <= 0.0 || age >= within {
             return None;
         }
         let from = self.set.cold_from.clamp(0.0, 1.0);
@@ -203,7 +210,7 @@
             self.cold_share(w, now).is_some() && worker.budget < worker.draw * self.class_service[class];
         let safe = self.set.classes[class].effect == Effect::Safe;
         let trial = safe && !worker.dead && worker.out.is_empty() && now >= worker.next_trial;
-        worker.ready() && !broke && (!self.suspect(w) || trial)
+        worker.ready() && !broke && !self.suspended(w, now) && (!self.suspect(w) || trial)
     }
 
     fn suspect(&self, w: usize) -> bool {
@@ -294,9 +301,20 @@
         let (left, ends) = (left.min(LONGEST), now + left.min(LONGEST).saturating_sub(END_MARGIN));
         let tenant = tenant.filter(|&t| t < self.tenant_rate.len());
         tenant.into_iter().for_each(|t| self.tenant_rate[t] += 1.0);
-        let (lost, done, errors, attempts) = (false, false, 0, Vec::new());
-        let r =
-            Request { function: f, class, tenant, arrived: now, ends, retry, lost, done, errors, attempts };
+        let (lost, done, errors, probing, attempts) = (false, false, 0, None, Vec::new());
+        let r = Request {
+            function: f,
+            class,
+            tenant,
+            arrived: now,
+            ends,
+            retry,
+            lost,
+            done,
+            errors,
+            probing,
+            attempts,
+        };
         self.requests.insert(id, r);
         let service = self.functions[f].service;
         if left <= END_MARGIN || self.overloaded(class, tenant, left as f64, service) {
@@ -405,7 +423,14 @@
         }
         let mut free = self.free_workers(f, now);
         free.retain(|&w| self.allowed(id, w, now));
+        if r.probing.is_some() && self.held_too_long(id, now) {
+            return self.finish(id, out);
+        }
+        let Some(free) = self.after_probe(id, free, now) else { return };
         if let Some(w) = self.pick(&free) {
+            if !self.assured(now, id, w, out) {
+                return;
+            }
             // Exception, while several gateways share the workers: others' requests in flight take lanes too.
             // If they are as many as ours of late, all lanes that we know of are taken: a loss we cannot see.
             let (service, lanes) = (self.functions[f].service, f64::from(self.functions[f].lanes));
@@ -426,25 +451,21 @@
         // Ties go to the least held by all accounts: at size ours are mostly none.
         let load =
             |w: usize, c: &Copy| (c.ours, (self.held_at(w, now) * self.workers[w].health * 16.0) as u64);
-        let warm = at.iter().filter(|(w, c)| c.warm(now) && fits(w)).map(|(&w, c)| (load(w, c), w));
-        if let Some((_, w)) = warm.min() {
+        let warm: Vec<usize> = at.iter().filter(|(w, c)| c.warm(now) && fits(w)).map(|(&w, _)| w).collect();
+        let Some(warm) = self.after_probe(id, warm, now) else { return };
+        if let Some(w) = warm.into_iter().min_by_key(|&w| (load(w, &at[&w]), w)) {
+            if !self.assured(now, id, w, out) {
+                return;
+            }
             if fresh {
                 self.add_copy(f, now, Some(id), out);
             }
             return self.send(now, id, w, out);
         }
-        // Guards against holding a request back until nobody can use its answer: with no attempt made by
-        // then, a refusal while the client has time to try again is worth more than a place in the queue.
-        let r = &self.requests[&id];
-        let most = ((r.ends - r.arrived) as f64 * HELD_PART) as Micros;
-        let most = if self.functions[f].proven { most } else { most.min(HELD_UNPROVEN) };
-        if r.attempts.is_empty() && now.saturating_sub(r.arrived) > most {
+        if self.held_too_long(id, now) {
             return self.finish(id, out);
         }
-        if !self.functions[f].held.contains(&id) {
-            self.functions[f].held.push_back(id);
-            self.waiting.insert(f);
-        }
+        self.keep_held(f, id);
         if self.ask(f, now, out) {
             return;
         }
@@ -456,11 +477,22 @@
             // No order may be given (ration, cap or site): where calls load by themselves, this one does.
             let may = self.set.load_on_absence && f64::from(self.loads_out) < self.load_cap;
             if let Some(w) = may.then(|| self.target(f, now, Some(id))).flatten() {
-                self.send(now, id, w, out);
+                if self.assured(now, id, w, out) {
+                    self.send(now, id, w, out);
+                }
             }
         }
     }
 
+    /// Guards against holding a request back until nobody can use its answer: with no attempt made by then, a
+    /// refusal while the client has time to try again is worth more than a place in the queue.
+    fn held_too_long(&self, id: RequestId, now: Micros) -> bool {
+        let r = &self.requests[&id];
+        let most = ((r.ends - r.arrived) as f64 * HELD_PART) as Micros;
+        let most = if self.functions[r.function].proven { most } else { most.min(HELD_UNPROVEN) };
+        r.attempts.is_empty() && now.saturating_sub(r.arrived) > most
+    }
+
     fn send(&mut self, now: Micros, id: RequestId, w: usize, out: &mut Vec<Action>) {
         let r = &self.requests[&id];
         let function = &self.functions[r.function];
@@ -506,9 +538,11 @@
         c.ours -= 1;
         c.cold_sends -= u32::from(a.cold);
         self.loads_out -= u32::from(a.cold);
+        let mut proof = None;
         if self.workers[w].ready() && !fresh_process {
             match outcome {
                 Outcome::Ok => {
+                    proof = Some(a.sent);
                     self.workers[w].blocks.retain(|&key, _| key != pair && key != WHOLE);
                     (c.count, c.expires, c.seen) = (c.count.max(1), c.expires.max(until), now);
                 }
@@ -519,13 +553,14 @@
                 c.others = (now, n.saturating_sub(a.ours_then.saturating_sub(1)));
             }
         }
+        if let Some(sent) = proof {
+            self.takes_work(w, sent);
+        }
         if outcome == Outcome::Full {
+            self.workers[w].lease.refute(a.sent);
             self.turned_away(w, pair, now);
         }
-        if let Some(held) = inflight.filter(|h| h.is_finite()) {
-            self.workers[w].report = Some((now, held.max(0.0), self.workers[w].out.len()));
-            self.reports = true;
-        }
+        self.report(w, now, inflight);
         if !fresh_process {
             let over = self.requests.get(&id).is_none_or(|r| r.done);
             self.judge(now, f, &a, (outcome, elapsed, over), a.cold || warm == Some(false));
@@ -539,6 +574,14 @@
         self.retry_held(Some(f), now, out);
     }
 
+    /// A load report of a worker, if it is one.
+    pub(crate) fn report(&mut self, w: usize, now: Micros, inflight: Option<f64>) {
+        if let Some(held) = inflight.filter(|h| h.is_finite()) {
+            self.workers[w].report = Some((now, held.max(0.0), self.workers[w].out.len()));
+            self.reports = true;
+        }
+    }
+
     /// One running figure of how a worker does against what was expected: what goes wrong there raises it.
     fn judge(&mut self, now: Micros, f: usize, a: &Attempt, how: (Outcome, Micros, bool), loaded: bool) {
         let (outcome, elapsed, over) = how;
@@ -738,6 +781,11 @@
             if free.is_empty() || self.retries < 1.0 {
                 continue;
             }
+            let free = self.prefer_leased(free, now);
+            if !self.leased(free[0], now) {
+                self.probe(free[0], now, out);
+                continue;
+            }
             if self.set.second_copies {
                 let w = self.pick(&free).unwrap_or(free[0]);
                 self.send(now, id, w, out);
@@ -751,7 +799,7 @@
     }
 
     /// Places the held requests of one function, or all, again.
-    fn retry_held(&mut self, only: Option<usize>, now: Micros, out: &mut Vec<Action>) {
+    pub(crate) fn retry_held(&mut self, only: Option<usize>, now: Micros, out: &mut Vec<Action>) {
         self.held(only).into_iter().for_each(|id| self.place(now, id, out));
     }
 
@@ -812,6 +860,12 @@
             return false;
         }
         let Some(w) = self.target(f, now, lost) else { return false };
+        if !self.leased(w, now) {
+            if !ahead {
+                self.probe(w, now, out); // the next loss finds the answer
+            }
+            return false;
+        }
         self.make_room(f, w, now, out);
         let c = self.copy(f, w);
         let count = if c.warm(now) { (c.count + 1).min(16) } else { 1 };
@@ -853,6 +907,7 @@
         let order = self.by_preference(f, draw);
         let fitting = |warm_too| order.iter().copied().filter(|&w| fits(w, warm_too)).collect::<Vec<_>>();
         let fitting = Some(fitting(false)).filter(|f| !f.is_empty()).unwrap_or_else(|| fitting(true));
+        let fitting = self.prefer_leased(fitting, now);
         let mut others: Vec<usize> = (0..self.functions.len()).filter(|&g| g != f).collect();
         others.sort_by_key(|&g| self.functions[g].last_lost);
         for g in others {
@@ -915,8 +970,13 @@
             if c.ours == 0
                 && c.order.is_none()
                 && c.expires < now + (keep as f64 * (1.0 - RENEW_AT)) as Micros
+                && !self.suspended(w, now)
                 && !self.rationed(now, true)
             {
+                if !self.leased(w, now) {
+                    self.probe(w, now, out); // the next survey finds the answer
+                    continue;
+                }
                 self.hold(f, w, 1, now, out);
             }
         }
@@ -950,7 +1010,19 @@
             Outcome::Reset => self.doubt(w, now),
             _ => {}
         }
-        emptied.then(|| self.void(w));
+        if emptied {
+            self.void(w);
+            if self.discovery_lost() {
+                self.workers[w].unreachable_since.get_or_insert(now);
+            }
+        }
+        if matches!(order, Order::Hold(_)) && ready {
+            match outcome {
+                Outcome::Ok => self.takes_work(w, since),
+                Outcome::Full => self.workers[w].lease.refute(since),
+                _ => {}
+            }
+        }
         if let Order::Hold(_) = order {
             self.loads_out -= 1;
             self.workers[w].orders_out -= 1;
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -123,6 +123,10 @@
     pub fall_window: Micros,
     /// Whether the list of workers must be subscribed to.
     pub ask_for_list: bool,
+    /// Sends to a worker must cease this long after the gateway was told that it drains or is gone.
+    pub drain_grace: Micros,
+    /// Whether workers may be probed.
+    pub probes: bool,
 }
 
 /// State of a listed worker.
@@ -153,14 +157,23 @@
     pub cell: u64,
 }
 
-/// How an attempt, an order or a question ended.
+/// Whether the list of workers is kept up to date.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DiscoveryState {
+    /// All that discovery has to tell has been told.
+    Current,
+    /// Discovery may have more to tell than has been heard.
+    Lost,
+}
+
+/// How an attempt, an order, a question or a probe ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Outcome {
-    /// Served, or the copies stand.
+    /// Served, or the copies stand, or the worker takes work.
     Ok,
     /// Answered with an error; a call may have run.
     Error,
-    /// Turned away unseen, or no room.
+    /// Turned away unseen, or no room, or the worker takes no work.
     Full,
     /// No answer in time; a call may have run.
     Timeout,
@@ -186,6 +199,11 @@
         /// The entries.
         entries: Vec<Entry>,
     },
+    /// Discovery was lost or is current again. Where this never comes, the list counts as current.
+    Discovery {
+        /// How it stands from now on.
+        state: DiscoveryState,
+    },
     /// A client's request.
     Request {
         /// Its identifier.
@@ -249,6 +267,15 @@
         /// Time since the order.
         elapsed: Micros,
     },
+    /// The answer to one [`Action::Probe`].
+    Probed {
+        /// The worker probed.
+        worker: WorkerId,
+        /// `Ok` if it takes work, `Full` if it does not; else why there is no answer.
+        outcome: Outcome,
+        /// Requests that the worker reported to hold, if it did.
+        inflight: Option<f64>,
+    },
 }
 
 /// What a gateway is to do, in the order given.
@@ -305,6 +332,11 @@
         /// The function.
         function: FunctionId,
     },
+    /// Ask a worker whether it takes work.
+    Probe {
+        /// The worker.
+        worker: WorkerId,
+    },
     /// Subscribe to the list of workers.
     Watch,
     /// A line for the operators' log.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 mod footprint;
 mod interface;
 pub mod json;
+mod readiness;
 mod settings;
 mod state;
 
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -3,6 +3,9 @@
 use crate::json::{as_number, as_text, count, flag, list, number, object, part, span, text};
 use miniserde::json::{Object, Value};
 
+/// The drain rule's grace where the settings do not state it.
+const DRAIN_GRACE: Micros = 1_000_000;
+
 impl Settings {
     /// Reads the object that an instance is given: the simulator's `conf`, the platform's `settings`.
     /// Unknown keys are skipped; what is absent counts as not stated.
@@ -62,6 +65,8 @@
             fall_multiple: number(rules, "fall-multiple").unwrap_or(0.0),
             fall_window: span(rules, "fall"),
             ask_for_list: text(conf, "registry-mode") == Some("ask"),
+            drain_grace: number(rules, "drain-grace").map_or(DRAIN_GRACE, |_| span(rules, "drain-grace")),
+            probes: flag(limits, "probes"),
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -1,5 +1,6 @@
 //! What a gateway remembers: plain records, read and written by `control.rs` alone. Nothing is decided here.
 use crate::interface::*;
+use crate::readiness::{Discovery, Lease};
 use rand_pcg::rand_core::RngCore;
 use rand_pcg::Pcg32;
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
@@ -109,6 +110,12 @@
     /// The part of a call at which its next one may go, while it is cold. Drawn for each: where every gateway of
     /// many may send less than a call, on the mean their sum is what their budgets add up to, at any moment.
     pub(crate) draw: f64,
+    /// What is known of its readiness while discovery is lost.
+    pub(crate) lease: Lease,
+    /// While discovery is lost: since when no connection came about.
+    pub(crate) unreachable_since: Option<Micros>,
+    /// When a process that may have started there without a word of discovery may have started; 0: none.
+    pub(crate) cold_since: Micros,
 }
 
 #[derive(Clone, Default)]
@@ -134,6 +141,8 @@
     pub(crate) lost: bool,
     pub(crate) done: bool,
     pub(crate) errors: u32,
+    /// The worker whose probe it waits for, and since when.
+    pub(crate) probing: Option<(usize, Micros)>,
     pub(crate) attempts: Vec<Attempt>,
 }
 
@@ -156,6 +165,9 @@
             orders_out: 0,
             budget: 0.0,
             draw: 1.0,
+            lease: Lease::told(now),
+            unreachable_since: None,
+            cold_since: 0,
         }
     }
 
@@ -239,6 +251,7 @@
     pub(crate) questions: f64,
     pub(crate) holds: f64,
     pub(crate) trial_gap: Micros,
+    pub(crate) discovery: Discovery,
 }
 
 impl Controller {
@@ -360,6 +373,9 @@
                 continue;
             };
             seen.insert(w);
+            if e.state == WorkerState::Ready {
+                self.workers[w].lease.prove(now);
+            }
             let known = &mut self.workers[w].entry;
             let restarted = e.started_at != known.started_at && e.started_at != 0;
             let started_at = if restarted { e.started_at } else { known.started_at };
@@ -412,6 +428,7 @@
         let (expected, patience) = times;
         let a = Attempt { worker, sent, expected, patience, open, may_have_run, cold, ours_then, called_off };
         r.attempts.push(a);
+        r.probing = None;
         self.workers[w].holds.insert(r.function);
         self.workers[w].out.insert((now, id, r.attempts.len() - 1));
     }
@@ -498,6 +515,14 @@
         }
     }
 
+    /// Holds a request of a function until it can be placed.
+    pub(crate) fn keep_held(&mut self, f: usize, id: RequestId) {
+        if !self.functions[f].held.contains(&id) {
+            self.functions[f].held.push_back(id);
+            self.waiting.insert(f);
+        }
+    }
+
     /// Requests held for one function, or for all.
     pub(crate) fn held(&mut self, only: Option<usize>) -> Vec<RequestId> {
         let functions = &self.functions;
