--- /dev/null
+++ b/heronslip/tests/wall_clock.rs
@@ -0,0 +1,81 @@
+//! The machine's wall clock stands an hour beside the one that stamps the starts of workers.
+mod common;
+
+use common::board_hand::{board, called, HEAD};
+use common::{call, connect, fastcgi_answer, frame, instance, tell, Plan, Received, Stage, SETTINGS};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+
+const HOUR_MS: i64 = 3_600_000;
+
+/// A worker that serves every call at once, and how many there were.
+fn counting_worker() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let calls = Arc::<AtomicUsize>::default();
+    let counted = calls.clone();
+    std::thread::spawn(move || {
+        for stream in listener.incoming().map_while(Result::ok) {
+            let counted = counted.clone();
+            std::thread::spawn(move || serve(stream, &counted));
+        }
+    });
+    (address, calls)
+}
+
+fn serve(mut stream: TcpStream, calls: &AtomicUsize) {
+    while let Ok(command) = Received::read(&mut stream) {
+        let (code, fields, body) = match command.code {
+            2 => (200, "detail=resident", &command.body[..]),
+            4 | 5 => (206, "", &[][..]),
+            6 => (200, "slots_up=1", &[][..]),
+            _ => continue,
+        };
+        calls.fetch_add(usize::from(command.code == 2), Ordering::AcqRel);
+        if stream.write_all(&frame(code, command.id, fields, body)).is_err() {
+            return;
+        }
+    }
+}
+
+/// Two workers, one of which is told to have started just now by a clock that is `ahead_ms` ahead of ours. The calls
+/// that each of them gets of 200 that come `after` the news.
+fn calls_after_a_start(ahead_ms: i64, settings: &str, after: Duration) -> [usize; 2] {
+    let (old, calls_of_old) = counting_worker();
+    let (new, calls_of_new) = counting_worker();
+    let (listener, address) = board();
+    let (settings, workers) = (settings.to_owned(), vec![old]);
+    let stage = Stage::with(Plan { settings, workers, board: address, ..Plan::default() });
+    let (mut stream, _) = called(&listener);
+    stream.write_all(format!("{HEAD}:\n\n").as_bytes()).expect("written");
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as i64;
+    let started = (unix + ahead_ms).unsigned_abs();
+    tell(&mut stream, 2, false, &[instance("new", new, "ready", started)]);
+    stage.listed("new", "ready", "told");
+    std::thread::sleep(after);
+    let mut client = connect(stage.front);
+    for id in 1..=200 {
+        client.write_all(&call(1, &format!("{id:016x}"), "900", "x")).expect("written");
+        let (head, _, _) = fastcgi_answer(&mut client).expect("an answer");
+        assert!(head.starts_with("Status: 200"), "{head}");
+    }
+    [calls_of_old, calls_of_new].map(|calls| calls.load(Ordering::Acquire))
+}
+
+/// Our clock is ahead: a worker that has just started looks an hour old, and would get the calls of a warm one.
+#[test]
+fn a_worker_that_has_just_started_is_cold_whatever_our_clock_shows() {
+    let [old, new] = calls_after_a_start(-HOUR_MS, SETTINGS, Duration::ZERO);
+    assert!(old > 4 * new, "{new} calls to the cold worker, {old} to the warm one");
+}
+
+/// Our clock is behind: a worker that started long ago looks as if it were still to start.
+#[test]
+fn a_worker_gets_warm_whatever_our_clock_shows() {
+    let settings = SETTINGS.replace(r#""warm-within":17000"#, r#""warm-within":300"#);
+    let [old, new] = calls_after_a_start(HOUR_MS, &settings, Duration::from_millis(400));
+    assert!(new > old / 4, "{new} calls to the worker that is warm by now, {old} to the other");
+}
