Take ages of workers as spans since they were told, not from the wall clock

Cause: a worker's age was our clock (Unix time at our start, monotonic since) less the stamp that the list gives. A wall clock an hour ahead made a worker that had just started count as warm; one an hour behind kept it cold for an hour and had everything sent to it count as sent before its process started, so that nothing was believed of it.

Change: the core's clock is monotonic from an origin of its own. Of the stamps that are told together only the distances are used: the latest start is taken for now, others lie before it. The events of the configuration are told as one. The log's seconds are monotonic too; no use of the wall clock is left in the program.

--- a/heronslip/src/core/clock.rs
+++ b/heronslip/src/core/clock.rs
@@ -1,29 +1,30 @@
-//! The module's clock: Unix microseconds at the start, then monotonic time.
+//! The module's clock. It is monotonic and shares nothing with the wall clock, which may be stepped at any time.
 use heronslip_policy::Micros;
-use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+use std::time::{Duration, Instant};
 
-/// A clock that shares the epoch of the list's start times and never goes back.
+/// The clock's time at its start: far from 0, which stands for "long ago", so that spans before the start have a place.
+const ORIGIN: Micros = 1_000_000_000_000;
+
+/// A clock that never goes back or leaps.
 #[derive(Clone, Copy)]
 pub struct Clock {
-    unix: Micros,
     start: Instant,
 }
 
 impl Clock {
     /// Starts now.
     pub fn start() -> Self {
-        let unix = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_micros() as Micros);
-        Clock { unix, start: Instant::now() }
+        Clock { start: Instant::now() }
     }
 
     /// An instant on this clock.
     pub fn at(&self, instant: Instant) -> Micros {
-        self.unix + instant.saturating_duration_since(self.start).as_micros() as Micros
+        ORIGIN + instant.saturating_duration_since(self.start).as_micros() as Micros
     }
 
     /// The instant of a time on this clock; the clock's start for what lies before it.
     pub fn instant(&self, at: Micros) -> Instant {
-        self.start + Duration::from_micros(at.saturating_sub(self.unix))
+        self.start + Duration::from_micros(at.saturating_sub(ORIGIN))
     }
 
     /// Now.
--- a/heronslip/src/core/mod.rs
+++ b/heronslip/src/core/mod.rs
@@ -2,6 +2,7 @@
 //! queue only; it knows requests, attempts, outcomes and members, and no wire.
 mod clock;
 mod peers;
+mod start_times;
 mod timers;
 
 pub use clock::Clock;
@@ -12,6 +13,7 @@
 use heronslip_policy::{Action, Controller, Effect, Entry, Event, Micros, Outcome, Settings, WorkerState};
 use miniserde::json::{self, Number, Object, Value};
 use peers::{one_at_an_address, Peer, Peers};
+use start_times::StartTimes;
 use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
@@ -494,13 +496,14 @@
             members.extend(gone);
         }
         members.splice(0..0, self.peers.displaced(source, &members));
+        let starts = StartTimes::told(self.clock.now(), &members);
         let quiet = members.len().saturating_sub(MEMBERS_LOGGED);
         let mut entries = Vec::with_capacity(members.len());
         for (n, member) in members.into_iter().enumerate() {
             if n < MEMBERS_LOGGED {
                 log!("member {}: {:?} at {}", member.id, member.state, member.address);
             }
-            entries.push(self.member(member));
+            entries.push(self.member(member, &starts));
         }
         if quiet > 0 {
             log!("member: {quiet} more have changed, {} are known", self.peers.len());
@@ -512,16 +515,18 @@
     }
 
     /// Takes over what is told of one worker; the same for the module.
-    fn member(&mut self, mut member: Member) -> Entry {
+    fn member(&mut self, mut member: Member, starts: &StartTimes) -> Entry {
         let known = self.peers.get_mut(&member.id);
         if let Some(peer) = known.as_ref().filter(|_| member.state == WorkerState::Gone) {
             member = peer.gone(); // a list that leaves it out tells no more of it
         }
         let place = |names: &[String], name: &str| heronslip_policy::json::position(names, Some(name));
+        let same_process = known.as_ref().filter(|peer| peer.member.started_at == member.started_at);
+        let started_at = same_process.map_or_else(|| starts.of(member.started_at), |peer| peer.started_at);
         let entry = Entry {
             worker: member.id.clone(),
             state: member.state,
-            started_at: member.started_at,
+            started_at,
             zone: place(&self.settings.zones, &member.zone),
             kind: place(&self.settings.kinds, &member.kind),
             cell: member.cell,
@@ -532,12 +537,12 @@
                 if member.state != WorkerState::Ready || peer.member.started_at != member.started_at {
                     peer.transport.retire();
                 }
-                peer.member = member;
+                (peer.member, peer.started_at) = (member, started_at);
             }
             None => {
                 let to = transport(member.speech, member.address, &self.limits, &self.reports);
                 let id = member.id.clone();
-                let old = self.peers.insert(Peer { member, transport: to, former: Vec::new() });
+                let old = self.peers.insert(Peer { member, started_at, transport: to, former: Vec::new() });
                 if let (Some(mut old), Some(peer)) = (old, self.peers.get_mut(&id)) {
                     old.transport.retire();
                     peer.former = old.former;
--- a/heronslip/src/core/peers.rs
+++ b/heronslip/src/core/peers.rs
@@ -1,7 +1,7 @@
 //! The workers as the core knows them, and which of them it holds connections to.
 use crate::messages::{AttemptKey, Member, Speech};
 use crate::worker::Transport;
-use heronslip_policy::WorkerState;
+use heronslip_policy::{Micros, WorkerState};
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -10,6 +10,8 @@
 pub struct Peer {
     /// What the list tells of it.
     pub member: Member,
+    /// When its process started, on the core's clock; 0: long ago.
+    pub started_at: Micros,
     /// The way to its address.
     pub transport: Box<dyn Transport>,
     /// To addresses where it stood before: what is out there may still be answered.
--- a/heronslip/src/discovery/client.rs
+++ b/heronslip/src/discovery/client.rs
@@ -12,6 +12,7 @@
 use heronslip_policy::DiscoveryState;
 use may::net::TcpStream;
 use may::sync::Mutex;
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
@@ -76,6 +77,8 @@
     table: Table,
     bounds: EventBounds,
     core: Sender<Message>,
+    /// What the events of the configuration come to, until they have all been taken over.
+    known: Option<BTreeMap<String, Member>>,
     /// Number of the last event that counts.
     last: u64,
     /// The event after it that could not be used when it came first.
@@ -97,21 +100,28 @@
     /// Nothing is known yet.
     pub fn new(limits: &Limits, core: Sender<Message>) -> Self {
         let bounds = EventBounds { entry_bytes: limits.board_entry, entries: limits.board_entries };
-        Follower { table: Table::default(), bounds, core, last: 0, spoilt: None, state: None }
+        Follower { table: Table::default(), bounds, core, known: None, last: 0, spoilt: None, state: None }
     }
 
-    /// Takes over an event that was told with the configuration; whether all of it could be read.
+    /// Takes over an event that was told with the configuration; whether all of it could be read. What it changes is
+    /// told with [`Follower::known_to`].
     pub fn take_known(&mut self, event: ListEvent) -> bool {
         let mut staged = self.table.begin();
         event.entries.into_iter().for_each(|entry| self.table.stage(entry, &mut staged));
         let sound = staged.unreadable.is_empty();
-        self.commit(event.full, staged);
+        let changed = self.changed(event.full, staged);
+        self.known
+            .get_or_insert_default()
+            .extend(changed.into_iter().map(|member| (member.id.clone(), member)));
         sound
     }
 
-    /// The events up to this number are known.
+    /// The events up to this number are known: tells what they come to, as one.
     pub fn known_to(&mut self, number: u64) {
         self.last = number;
+        if let Some(known) = self.known.take() {
+            self.tell(known.into_values().collect());
+        }
     }
 
     /// All that the board has to tell has been read. Told each time that it is seen: the core may have doubted it.
@@ -182,12 +192,17 @@
         Ok(())
     }
 
-    fn commit(&mut self, full: bool, mut staged: Staged) {
+    fn commit(&mut self, full: bool, staged: Staged) {
+        let members = self.changed(full, staged);
+        self.tell(members);
+    }
+
+    /// What an event changes.
+    fn changed(&mut self, full: bool, mut staged: Staged) -> Vec<Member> {
         for unreadable in std::mem::take(&mut staged.unreadable) {
             note!("board: an instance was skipped: {unreadable}");
         }
-        let members = self.table.commit(full, staged);
-        self.tell(members);
+        self.table.commit(full, staged)
     }
 
     /// Tells the core what has changed. An event that changes nothing is told too: the first makes it ready.
--- a/heronslip/src/log.rs
+++ b/heronslip/src/log.rs
@@ -2,7 +2,8 @@
 use std::fmt::Arguments;
 use std::io::Write;
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::time::{SystemTime, UNIX_EPOCH};
+use std::sync::OnceLock;
+use std::time::Instant;
 
 const A_SECOND: u64 = 5;
 
@@ -22,7 +23,8 @@
     /// Writes the line, unless there were many of its kind within this second. Guards against clients and
     /// workers that cause a line at full speed: whoever reads the log slowly would hold the program up.
     pub fn write(&self, text: Arguments) {
-        let second = SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |d| d.as_secs());
+        static START: OnceLock<Instant> = OnceLock::new();
+        let second = START.get_or_init(Instant::now).elapsed().as_secs() + 1; // 0 stands for nothing written yet
         if let Some(line) = self.admit(second, text) {
             say(format_args!("{line}"));
         }
--- a/heronslip/src/messages.rs
+++ b/heronslip/src/messages.rs
@@ -147,7 +147,7 @@
     pub address: SocketAddr,
     /// Its state.
     pub state: WorkerState,
-    /// Unix time of a late start; 0: long ago.
+    /// Time of a late start, by the wall clock of whoever listed it; 0: long ago. Only good to be compared.
     pub started_at: Micros,
     /// Its zone's name.
     pub zone: String,
