--- a/heronslip/src/shutdown.rs
+++ b/heronslip/src/shutdown.rs
@@ -40,6 +40,7 @@
     log!("stop: signal; listening for {} ms more", limits.stop_listening.as_millis());
     // The front goes on sending for a while: what comes in that time is owed an answer like any other.
     std::thread::sleep(limits.stop_listening);
+    log!("stop: closing the listeners");
     close(listeners, context);
     let since = Instant::now();
     let mut quiet = 0;
--- a/heronslip/tests/common/mod.rs
+++ b/heronslip/tests/common/mod.rs
@@ -104,13 +104,16 @@
     pub unread: bool,
     /// The board named at the start, in place of the first stand-in.
     pub board: Option<SocketAddr>,
+    /// Further variables of the program's environment.
+    pub environment: Vec<(&'static str, PathBuf)>,
 }
 
 impl Default for Plan {
     fn default() -> Self {
         let (speech, workers, sockets) = (Speech::Platform, Vec::new(), 256);
         let (settings, known, unread, board) = (SETTINGS.to_owned(), None, false, None);
-        Plan { speech, workers, sockets, settings, known, unread, board }
+        let environment = Vec::new();
+        Plan { speech, workers, sockets, settings, known, unread, board, environment }
     }
 }
 
@@ -197,6 +200,7 @@
             .env("NODE_CONFIG", &config)
             .env("NODE_LISTEN", "127.0.0.1:0")
             .env("HERONSLIP_KSERVE", kserve)
+            .envs(plan.environment)
             .stderr(Stdio::piped())
             .spawn()
             .expect("the program starts");
--- /dev/null
+++ b/heronslip/tests/system_calls.rs
@@ -0,0 +1,133 @@
+//! System calls that fail for a moment, in the ways that Linux documents.
+mod common;
+
+use common::{call, connect, fastcgi_answer, frame, obliging_worker, Plan, Received, Stage};
+use heronslip_shim_control::{Call, Rates, CALLS, CONTROL_BYTES, CONTROL_VARIABLE};
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener};
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+/// The shim, built into a folder of the tests.
+fn shim() -> PathBuf {
+    let target = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("shim");
+    let build = Command::new(env!("CARGO"))
+        .args(["build", "--quiet", "--locked", "-p", "heronslip-shim", "--target-dir"])
+        .arg(&target)
+        .status();
+    assert!(build.expect("cargo runs").success());
+    target.join("debug/libheronslip_shim.so")
+}
+
+/// Thousandths of the calls of some kinds.
+fn rates(of: &[(Call, u32)]) -> Rates {
+    let mut rates = [0; CALLS.len()];
+    of.iter().for_each(|(call, rate)| rates[*call as usize] = *rate);
+    rates
+}
+
+/// Sets the rates in a control file, also of a shim that is loaded. The file is what the control's fields are in
+/// memory, the rates last.
+fn set(control: &Path, rates: Rates) {
+    let bytes: Vec<u8> = rates.iter().flat_map(|rate| rate.to_ne_bytes()).collect();
+    let file = std::fs::OpenOptions::new().write(true).open(control).expect("a control file");
+    file.write_all_at(&bytes, (CONTROL_BYTES - size_of::<Rates>()) as u64).expect("written");
+}
+
+/// The environment that loads the shim, and the file that controls it.
+fn failing(rates: Rates) -> (Vec<(&'static str, PathBuf)>, PathBuf) {
+    static FILES: AtomicU64 = AtomicU64::new(0);
+    let name = format!("control-{}-{}", std::process::id(), FILES.fetch_add(1, Ordering::Relaxed));
+    let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
+    std::fs::write(&path, vec![0; CONTROL_BYTES]).expect("written");
+    set(&path, rates);
+    (vec![("LD_PRELOAD", shim()), (CONTROL_VARIABLE, path.clone())], path)
+}
+
+/// A worker that serves every call, and how many it got.
+fn counting_worker() -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = listener.local_addr().expect("bound");
+    let calls = Arc::<AtomicUsize>::default();
+    let counted = calls.clone();
+    std::thread::spawn(move || {
+        for mut stream in listener.incoming().map_while(Result::ok) {
+            let counted = counted.clone();
+            std::thread::spawn(move || {
+                while let Ok(command) = Received::read(&mut stream) {
+                    counted.fetch_add(usize::from(command.code == 2), Ordering::AcqRel);
+                    let answer = match command.code {
+                        2 => frame(200, command.id, "detail=resident", &command.body),
+                        4 | 5 => frame(206, command.id, "", &[]),
+                        6 => frame(200, command.id, "slots_up=1", &[]),
+                        _ => continue,
+                    };
+                    if stream.write_all(&answer).is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, calls)
+}
+
+/// An interrupted read is no end: an answer of which a part has come is read on, and its call is not sent again.
+#[test]
+fn an_interrupted_read_loses_no_answer() {
+    let (worker, calls) = counting_worker();
+    let (environment, _) = failing(rates(&[(Call::Read, 800)]));
+    let stage = Stage::with(Plan { workers: vec![worker], environment, ..Plan::default() });
+    let body = "x".repeat(4_000);
+    for id in 1..=30 {
+        let mut client = connect(stage.front);
+        client.write_all(&call(1, &format!("{id:016x}"), "5000", &body)).expect("written");
+        let (head, _, _) = fastcgi_answer(&mut client).expect("an answer");
+        assert!(head.starts_with("Status: 200"), "{head}");
+    }
+    assert_eq!(calls.load(Ordering::Acquire), 30);
+}
+
+/// Connections that wait at a planned end are taken in though accepting fails for a while.
+#[test]
+fn a_planned_end_takes_connections_in_though_accepting_fails() {
+    let (environment, control) = failing(rates(&[]));
+    let workers = vec![obliging_worker()];
+    let mut stage = Stage::with(Plan { workers, environment, ..Plan::default() });
+    set(&control, rates(&[(Call::Accept, 1_000)]));
+    let mut clients: Vec<_> = (1..=10u64).map(|id| (id, connect(stage.front))).collect();
+    for (id, client) in &mut clients {
+        client.write_all(&call(1, &format!("{id:016x}"), "3000", "x")).expect("written");
+    }
+    stage.signal("-TERM");
+    stage.logged("stop: closing the listeners");
+    std::thread::sleep(Duration::from_millis(50)); // several tries to accept
+    set(&control, rates(&[]));
+    for (id, client) in &mut clients {
+        let answer = fastcgi_answer(client).map(|(head, _, _)| head);
+        assert!(answer.as_ref().is_ok_and(|head| head.starts_with("Status: ")), "client {id}: {answer:?}");
+    }
+    assert!(stage.ended());
+}
+
+/// Accepts, sockets, connects, reads, writes and waits fail often, each for a moment: every call gets its answer.
+#[test]
+fn calls_are_answered_while_system_calls_fail() {
+    use Call::{Accept, Connect, Read, Socket, Wait, Write};
+    let often = [(Accept, 300), (Socket, 100), (Connect, 100), (Read, 300), (Write, 300), (Wait, 300)];
+    let (environment, _) = failing(rates(&often));
+    let workers = vec![obliging_worker(), obliging_worker(), obliging_worker()];
+    let stage = Stage::with(Plan { workers, environment, ..Plan::default() });
+    let (mut served, all) = (0, 60);
+    for id in 1..=all {
+        let mut client = connect(stage.front);
+        client.write_all(&call(1, &format!("{id:016x}"), "3000", "x")).expect("written");
+        let (head, _, _) = fastcgi_answer(&mut client).expect("an answer");
+        served += usize::from(head.starts_with("Status: 200"));
+    }
+    assert!(served > all / 2, "{served} of {all} served");
+}
--- a/heronslip/tests/transport.rs
+++ b/heronslip/tests/transport.rs
@@ -48,6 +48,42 @@
     }
 }
 
+/// What a worker is told of the time left counts from when it is told: the connection may come up late.
+#[test]
+fn the_budget_of_a_call_counts_the_wait_for_its_connection() {
+    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
+    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("bound");
+    socket.listen(0).expect("listens");
+    let listener = TcpListener::from(socket);
+    let address = listener.local_addr().expect("bound");
+    // Fills the queue of connections: the next one gets no answer until some are taken.
+    let mut fillers = Vec::new();
+    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) {
+        fillers.push(stream);
+    }
+    let mut limits = Limits::new(192, 1024, &Settings::default());
+    limits.connect = Duration::from_secs(20);
+    let (queue, _reports) = mpsc::channel();
+    let mut transport = frames(address, limits, queue);
+    let since = Instant::now();
+    let budget = Duration::from_secs(60);
+    let key = AttemptKey { request: 1, attempt: 0 };
+    transport.send(key, &request(9), budget.as_micros() as u64, None);
+    std::thread::sleep(Duration::from_millis(500));
+    let waited = since.elapsed();
+    drop(fillers); // their ends are read as empty connections
+    let told = loop {
+        let (mut stream, _) = listener.accept().expect("a connection");
+        let mut first = [0];
+        if stream.peek(&mut first).is_ok_and(|n| n > 0) {
+            let (_, _, fields) = command(&mut stream);
+            let told = fields.split("budget=").nth(1).expect("a budget").to_owned();
+            break told.split(',').next().expect("a figure").parse().expect("a number");
+        }
+    };
+    assert!(Duration::from_millis(told) <= budget - waited, "{told} ms are told after {waited:?}");
+}
+
 /// Guards descriptors: an order that gets no answer must not hold its connection for ever.
 #[test]
 fn a_connection_whose_order_was_lost_closes_after_it_lapsed() {
