Go on accepting after errors of one connection until the listener is closed

Cause: once the program was closing, the accept loop ended at any error but EMFILE and ENFILE, and what still waited to be taken in was reset. Change: the loop ends when its listener has been closed, which is marked before it is shut; want of memory (ENOBUFS, ENOMEM) pauses it like want of descriptors, any other error for a millisecond.

--- a/heronslip/src/front/mod.rs
+++ b/heronslip/src/front/mod.rs
@@ -7,7 +7,9 @@
 use crate::messages::Message;
 use crate::net::{spawn, Outbox, Permit, Permits, Socket};
 use may::net::TcpListener;
+use nix::errno::Errno;
 use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
+use std::net::Shutdown;
 use std::os::fd::AsFd;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::Sender;
@@ -15,6 +17,10 @@
 use std::time::Duration;
 
 const PERMIT_TRIES: usize = 20;
+/// After a want of descriptors or memory, before the next try to accept.
+const EXHAUSTED_PAUSE: Duration = Duration::from_millis(10);
+/// After any other error.
+const FAILED_PAUSE: Duration = Duration::from_millis(1);
 
 /// What every front needs.
 #[derive(Clone)]
@@ -50,12 +56,20 @@
     /// The listener.
     pub listener: Arc<TcpListener>,
     waits: Arc<AtomicBool>,
+    closed: Arc<AtomicBool>,
 }
 
 impl Acceptor {
     /// Nothing has been accepted yet.
     pub fn new(listener: TcpListener) -> Self {
-        Acceptor { listener: Arc::new(listener), waits: Arc::default() }
+        Acceptor { listener: Arc::new(listener), waits: Arc::default(), closed: Arc::default() }
+    }
+
+    /// Ends accepting: what has not been taken in by now is reset.
+    pub fn close(&self) {
+        self.closed.store(true, Ordering::Release);
+        // Wakes the coroutine that waits in accept; fails where it has ended already.
+        let _ = socket2::SockRef::from(self.listener.inner()).shutdown(Shutdown::Both);
     }
 
     /// Whether all that has connected has been taken in: the system has none waiting, and none is in hand.
@@ -94,23 +108,28 @@
                 // all stand here as if they had nothing to say.
                 may::coroutine::yield_now();
             }
-            Err(e) if context.closing.load(Ordering::Acquire) && !exhausted(&e) => {
+            // Errors come and go, also while the program is ending: only the listener's own end is one.
+            Err(_) if acceptor.closed.load(Ordering::Acquire) => {
                 acceptor.waits.store(true, Ordering::Release);
                 return;
             }
+            Err(e) if exhausted(&e) => {
+                note!("{front}: accept: {e}");
+                may::coroutine::sleep(EXHAUSTED_PAUSE);
+            }
             Err(e) => {
                 note!("{front}: accept: {e}");
-                may::coroutine::sleep(Duration::from_millis(10));
+                may::coroutine::sleep(FAILED_PAUSE);
             }
         }
     }
 }
 
-/// Whether an accept failed for want of descriptors: the connection still waits, others may leave.
+/// Whether an accept failed for want of descriptors or memory: the connection still waits, others may leave. Any
+/// other error is that of one connection, or an interruption.
 fn exhausted(e: &std::io::Error) -> bool {
-    const PROCESS: i32 = 24; // EMFILE
-    const MACHINE: i32 = 23; // ENFILE
-    matches!(e.raw_os_error(), Some(PROCESS | MACHINE))
+    let error = e.raw_os_error().map(Errno::from_raw);
+    matches!(error, Some(Errno::EMFILE | Errno::ENFILE | Errno::ENOBUFS | Errno::ENOMEM))
 }
 
 /// A permit, if need be one that others give up.
--- a/heronslip/src/shutdown.rs
+++ b/heronslip/src/shutdown.rs
@@ -5,7 +5,6 @@
 use crate::front::{Acceptor, FrontContext};
 use signal_hook::consts::{SIGHUP, SIGINT, SIGTERM};
 use signal_hook::iterator::Signals;
-use std::net::Shutdown;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc::channel;
 use std::sync::Arc;
@@ -76,10 +75,7 @@
     while !listeners.iter().all(Acceptor::is_empty) && since.elapsed() < context.limits.stop_listening {
         std::thread::sleep(LOOK);
     }
-    for acceptor in listeners {
-        // Wakes the coroutine that waits in accept; it sees that the program is closing.
-        let _ = socket2::SockRef::from(acceptor.listener.inner()).shutdown(Shutdown::Both);
-    }
+    listeners.iter().for_each(Acceptor::close);
 }
 
 /// Registers the signals; called before anything else runs, so that none is missed or ends the program.
