Work out a call's budget when its frame is about to go

Cause: the budget told to a worker was worked out when the call was handed to its connection. A connection that took 500 ms to come up carried the budget of 500 ms before; 150 ms of slack are allowed, and connections may take a second. Change: a call is made into a frame when it goes into the ring, and one of which no byte has left 100 ms later (a socket that takes nothing) is taken back as never sent, so that it can go elsewhere.

--- a/heronslip/src/worker/frames.rs
+++ b/heronslip/src/worker/frames.rs
@@ -26,6 +26,8 @@
 const TAKES_NO_WORK: u8 = 207;
 const HEADER: usize = 16;
 const CHECK: usize = 4;
+/// A call's frame that has not begun to go by then is taken back: it would tell the worker of more time than is left.
+const BUDGET_TRUE: Duration = Duration::from_millis(100);
 /// Ids kept of the past: an answer crosses its give-up, or comes twice, within some calls of it.
 const PAST: usize = 256;
 
@@ -165,6 +167,41 @@
             Begin::WhileReady { until } => retired || until.is_some_and(|until| now >= until),
         }
     }
+
+    /// The same, and before this.
+    fn before(self, most: Option<Instant>) -> Self {
+        match (self, most) {
+            (Begin::WhileReady { until }, Some(most)) => {
+                Begin::WhileReady { until: Some(until.map_or(most, |until| until.min(most))) }
+            }
+            _ => self,
+        }
+    }
+}
+
+/// What an exchange sends first.
+enum Opening {
+    Frame(Vec<u8>),
+    /// A call, made into a frame when it is about to go: what it tells of the time left has to be true then.
+    Call {
+        request: Arc<Request>,
+        until: Instant,
+    },
+}
+
+impl Opening {
+    /// The frame, and how long it may wait in the ring; nothing if its time is over.
+    fn frame(&self, now: Instant) -> Option<(Vec<u8>, Option<Instant>)> {
+        match self {
+            Opening::Frame(frame) => Some((frame.clone(), None)),
+            Opening::Call { request, until } => {
+                let left = until.checked_duration_since(now)?.as_micros() as Micros;
+                let fields = call_fields(request, left);
+                let frame = encode(CALL, request.wire_id, &fields, request.payload.bytes());
+                Some((frame, Some(now + BUDGET_TRUE)))
+            }
+        }
+    }
 }
 
 /// What is to be written. Calls and orders to load wait for the connection, and may have to begin in time.
@@ -173,7 +210,7 @@
         what: What,
         id: u64,
         function: FunctionId,
-        frame: Vec<u8>,
+        opening: Opening,
         begin: Begin,
     },
     Cancel(What),
@@ -290,10 +327,10 @@
         }
     }
 
-    fn open(&mut self, what: What, id: u64, function: FunctionId, begin: Begin, frame: Vec<u8>) {
+    fn open(&mut self, what: What, id: u64, function: FunctionId, begin: Begin, opening: Opening) {
         let link = self.link();
         link.state.load.fetch_add(1, Ordering::AcqRel);
-        let _ = link.commands.send(Command::Open { what, id, function, frame, begin });
+        let _ = link.commands.send(Command::Open { what, id, function, opening, begin });
         // its timer ends it at last
     }
 }
@@ -315,9 +352,10 @@
 
 impl Transport for Frames {
     fn send(&mut self, key: AttemptKey, request: &Arc<Request>, budget: Micros, until: Option<Instant>) {
-        let frame = encode(CALL, request.wire_id, &call_fields(request, budget), request.payload.bytes());
+        let over = Instant::now() + Duration::from_micros(budget);
+        let opening = Opening::Call { request: request.clone(), until: over };
         let begin = Begin::WhileReady { until };
-        self.open(What::Attempt(key), request.wire_id, request.function, begin, frame);
+        self.open(What::Attempt(key), request.wire_id, request.function, begin, opening);
     }
 
     fn cancel(&mut self, key: AttemptKey) {
@@ -353,13 +391,13 @@
         let id = u64::MAX - order;
         let frame = hold(id, function, copies);
         let begin = if copies > 0 { Begin::WhileReady { until } } else { Begin::AnyTime };
-        self.open(What::Order(order), id, function, begin, frame);
+        self.open(What::Order(order), id, function, begin, Opening::Frame(frame));
     }
 
     fn probe(&mut self, probe: u64) {
         let id = u64::MAX - probe;
         let frame = encode(PROBE, id, "", &[]);
-        self.open(What::Probe(probe), id, 0, Begin::AnyTime, frame);
+        self.open(What::Probe(probe), id, 0, Begin::AnyTime, Opening::Frame(frame));
     }
 
     fn unload(&mut self, function: FunctionId) {
@@ -397,9 +435,9 @@
                     if quiet > limits.link_quiet.max(waited) {
                         let (id, what) = (u64::MAX / 2 - connection_number(), What::Word);
                         link.state.load.fetch_add(1, Ordering::AcqRel);
-                        let frame = hold(id, function, 0);
+                        let opening = Opening::Frame(hold(id, function, 0));
                         let begin = Begin::AnyTime;
-                        let _ = link.commands.send(Command::Open { what, id, function, frame, begin });
+                        let _ = link.commands.send(Command::Open { what, id, function, opening, begin });
                         link.asked = Some(Instant::now());
                     }
                 }
@@ -696,49 +734,81 @@
 
     /// Moves what waits into the ring, as far as whole frames fit.
     fn fill(&mut self) -> Result<(), String> {
-        while let Some(command) = self.waiting.front() {
-            let (len, what) = match command {
-                Command::Open { frame, what, id, function, begin } => {
-                    (frame.len(), Some((*what, *id, *function, *begin)))
+        while let Some(command) = self.waiting.pop_front() {
+            let held_back = match command {
+                Command::Close => return Err("given up".to_owned()),
+                Command::Plain(ref frame) => self.put_plain(frame)?,
+                Command::Cancel(what) => self.put_cancel(what)?,
+                Command::Open { what, id, function, ref opening, begin } => {
+                    self.put_opening(what, id, function, opening, begin)?
                 }
-                Command::Plain(frame) => (frame.len(), None),
-                Command::Close => (0, None),
-                Command::Cancel(_) => (HEADER + CHECK, None),
             };
-            if len > self.outgoing.free() {
-                if self.outgoing.is_empty() {
-                    return Err(format!("a frame of {len} bytes is larger than the ring"));
-                }
+            if held_back {
+                self.waiting.push_front(command);
                 return Ok(());
             }
-            let Some(command) = self.waiting.pop_front() else { return Ok(()) };
-            let frame = match command {
-                Command::Open { frame, .. } | Command::Plain(frame) => frame,
-                Command::Close => return Err("given up".to_owned()),
-                Command::Cancel(what) => match (self.give_up(what), what) {
-                    (Some(id), What::Attempt(_)) => encode(GIVE_UP, id, "", &[]),
-                    _ => continue, // an order stands, whether its answer is awaited or not
-                },
-            };
-            let Some((what, id, function, begin)) = what else {
-                self.outgoing.push(&frame, None);
-                continue;
-            };
-            let Ok(mut table) = self.state.table.lock() else { return Err("poisoned".to_owned()) };
-            if table.broken || table.knows(id) {
-                // Two exchanges under one id could not be told apart: the later one is not sent. That is no
-                // fault of the worker's.
-                let outcome = if table.broken { Outcome::ConnectFailed } else { Outcome::Moot };
-                drop(table);
-                report(&self.reports, &self.state, what, outcome);
-                continue;
-            }
-            let end = self.outgoing.push(&frame, Some((id, begin)));
-            table.open.insert(id, Exchange { what, end, since: Instant::now(), function });
         }
         Ok(())
     }
 
+    /// Whether a frame fits into the ring now; an error if it never will.
+    fn fits(&self, frame: &[u8]) -> Result<bool, String> {
+        if frame.len() <= self.outgoing.free() {
+            return Ok(true);
+        }
+        if self.outgoing.is_empty() {
+            return Err(format!("a frame of {} bytes is larger than the ring", frame.len()));
+        }
+        Ok(false)
+    }
+
+    /// Puts a frame in that is owed no answer; true if there is no room for it yet.
+    fn put_plain(&mut self, frame: &[u8]) -> Result<bool, String> {
+        let fits = self.fits(frame)?;
+        if fits {
+            self.outgoing.push(frame, None);
+        }
+        Ok(!fits)
+    }
+
+    /// Gives up what is out here; true if there is no room for the word of it yet. Orders stand, whether their
+    /// answers are awaited or not.
+    fn put_cancel(&mut self, what: What) -> Result<bool, String> {
+        if self.outgoing.free() < HEADER + CHECK {
+            return Ok(true);
+        }
+        if let (Some(id), What::Attempt(_)) = (self.give_up(what), what) {
+            self.outgoing.push(&encode(GIVE_UP, id, "", &[]), None);
+        }
+        Ok(false)
+    }
+
+    /// Opens an exchange; true if there is no room for its frame yet.
+    fn put_opening(
+        &mut self, what: What, id: u64, function: FunctionId, opening: &Opening, begin: Begin,
+    ) -> Result<bool, String> {
+        let now = Instant::now();
+        let Some((frame, most)) = opening.frame(now) else {
+            report(&self.reports, &self.state, what, Outcome::Moot);
+            return Ok(false);
+        };
+        if !self.fits(&frame)? {
+            return Ok(true);
+        }
+        let Ok(mut table) = self.state.table.lock() else { return Err("poisoned".to_owned()) };
+        if table.broken || table.knows(id) {
+            // Two exchanges under one id could not be told apart: the later one is not sent. That is no fault of the
+            // worker's.
+            let outcome = if table.broken { Outcome::ConnectFailed } else { Outcome::Moot };
+            drop(table);
+            report(&self.reports, &self.state, what, outcome);
+            return Ok(false);
+        }
+        let end = self.outgoing.push(&frame, Some((id, begin.before(most))));
+        table.open.insert(id, Exchange { what, end, since: now, function });
+        Ok(false)
+    }
+
     /// Closes what is out here; its id if it was.
     fn give_up(&self, what: What) -> Option<u64> {
         let mut table = self.state.table.lock().ok()?;
