--- a/heronslip/tests/program.rs
+++ b/heronslip/tests/program.rs
@@ -187,6 +187,17 @@
     assert!(stage.ended());
 }
 
+/// A configuration that cannot be read when SIGHUP comes, half written for one, is read once it can be.
+#[test]
+fn a_configuration_that_is_still_being_written_is_read_in_the_end() {
+    let stage = Stage::new(Speech::Platform);
+    assert_eq!(stage.board_call().0, "1");
+    stage.reload(true);
+    stage.logged("reload:");
+    stage.name_other_board();
+    assert_eq!(stage.board_call().0, "1");
+}
+
 /// SIGTERM before the list of workers is known: nothing is owed, and the program ends.
 #[test]
 fn a_planned_end_before_it_is_ready() {
