Read a configuration again until it can be read after SIGHUP

Cause: where the file could not be read when SIGHUP came (half written, missing, a descriptor short), the program kept the old address of the board for good. Change: it tries again each 100 ms until it can.

--- a/heronslip/src/shutdown.rs
+++ b/heronslip/src/shutdown.rs
@@ -11,6 +11,8 @@
 use std::time::{Duration, Instant};
 
 const LOOK: Duration = Duration::from_millis(10);
+/// A configuration that could not be read is read again after this.
+const RELOAD_RETRY: Duration = Duration::from_millis(100);
 
 /// Serves SIGHUP until SIGTERM or SIGINT comes, then waits for the end of what is open. Returns when the
 /// program may exit.
@@ -21,14 +23,22 @@
     let board = board.clone();
     // A thread of their own: what is open at SIGTERM may take as long as the longest deadline, and the board
     // may move meanwhile.
-    let serve = move || {
-        for signal in signals.forever() {
+    let serve = move || loop {
+        let mut read = true;
+        for signal in signals.wait() {
             if signal == SIGHUP {
-                reload(&board);
+                read = reload(&board);
             } else {
                 let _ = stop.send(()); // told before
             }
         }
+        while !read {
+            std::thread::sleep(RELOAD_RETRY);
+            if signals.pending().any(|signal| signal != SIGHUP) {
+                let _ = stop.send(());
+            }
+            read = reload(&board);
+        }
     };
     std::thread::Builder::new()
         .name("signals".to_owned())
@@ -55,15 +65,19 @@
     Ok(())
 }
 
-/// Reads the board's address again.
-fn reload(board: &Board) {
-    // Guards against a file that is missing or half written: what held before goes on to hold.
+/// Reads the board's address again; whether it could. Guards against a file that is missing or half written: what
+/// held before goes on to hold, and the file is read again until it can be.
+fn reload(board: &Board) -> bool {
     match Config::board_now() {
         Ok(address) => {
             log!("reload: the board is at {address}");
             board.moved(address);
+            true
+        }
+        Err(why) => {
+            note!("reload: nothing changed yet: {why}");
+            false
         }
-        Err(why) => log!("reload: nothing changed: {why}"),
     }
 }
 
