Add a failing test: late requests in a planned end are sent on until the kill

With a give-up of 0.3 s the kill comes 1 s after SIGTERM. A request that comes 0.9 s after it is sent to a worker as ever: what the kill finds unanswered of it is lost. Seen: status 500 after its full time, where nothing need have been begun.

--- a/heronslip/tests/program.rs
+++ b/heronslip/tests/program.rs
@@ -198,6 +198,27 @@
     assert_eq!(stage.board_call().0, "1");
 }
 
+/// A client goes on sending on its open connection until the program is killed, which may come soon where deadlines are
+/// short: what comes late is refused at once, and the connection closes behind it.
+#[test]
+fn what_comes_late_in_a_planned_end_is_refused_at_once() {
+    let settings = common::SETTINGS.replace(r#""goal-time":400,"#, r#""goal-time":200,"give-up":300,"#);
+    let mut stage = Stage::with(Plan { settings, ..Plan::default() });
+    stage.play(Speech::Platform, SERVED);
+    let mut stream = connect(stage.front);
+    // Open beside it: the program does not end before the late one comes.
+    let mut other = connect(stage.front);
+    let half = fastcgi(1, &params("5000"), b"half");
+    other.write_all(&half[..half.len() - 8]).expect("written");
+    stage.signal("-TERM");
+    stage.logged("stop: closing the listeners");
+    stream.write_all(&fastcgi(1, &params("5000"), b"late")).expect("written");
+    let (head, _, _) = fastcgi_answer(&mut stream).expect("an answer");
+    assert!(head.starts_with("Status: 503") && head.contains("Srv-Wait-Ms: "), "{head}");
+    assert_eq!(stream.read(&mut [0; 64]).expect("its end"), 0, "the connection is still open");
+    assert!(stage.ended());
+}
+
 /// SIGTERM before the list of workers is known: nothing is owed, and the program ends.
 #[test]
 fn a_planned_end_before_it_is_ready() {
