Refuse at once what comes late in a planned end, and close idle connections

Cause: after SIGTERM requests on open connections were sent on as ever until the program ended, which it does not while they come. With short deadlines SIGKILL comes 1 s after SIGTERM; what it finds unanswered and came after 0.7 s is lost. Change: from 0.65 s after SIGTERM new requests are refused, with the advice when to come back, and connections that owe nothing are closed by their readers, once all that has been read is answered.

--- a/heronslip/src/core/mod.rs
+++ b/heronslip/src/core/mod.rs
@@ -36,6 +36,8 @@
     pub open: AtomicUsize,
     /// Whether the core runs and has been told the list of workers.
     pub ready: AtomicBool,
+    /// Set late in a planned end: the program may be killed before what comes from then on could be served.
+    pub ending: AtomicBool,
 }
 
 struct Attempt {
@@ -174,6 +176,9 @@
 
     fn request(&mut self, mut request: Request, client: Arc<dyn Client>, tag: u64) {
         let _reading = request.reading.take(); // until it is counted as open, or answered
+        if self.shared.ending.load(Ordering::Acquire) {
+            return client.answer(tag, Answer::Refused { wait: self.settings.max_retry_after / 2 });
+        }
         let class = self.settings.class(&request.class);
         let tenant = self.settings.tenant(&request.tenant);
         let known = self.settings.classes.get(class);
--- a/heronslip/src/front/fastcgi.rs
+++ b/heronslip/src/front/fastcgi.rs
@@ -223,7 +223,11 @@
                     return Err("a record never came whole".to_owned());
                 }
                 self.overdue(&limits)?;
-                if self.partial.is_empty() && got.is_empty() && self.side.occupant.outstayed(&limits) {
+                // Here and not behind an answer: what has been read is answered first.
+                let ending =
+                    self.context.shared.ending.load(Ordering::Acquire) && self.side.occupant.is_idle();
+                let over = ending || self.side.occupant.outstayed(&limits);
+                if self.partial.is_empty() && got.is_empty() && over {
                     return Ok(());
                 }
             }
--- a/heronslip/src/front/kserve.rs
+++ b/heronslip/src/front/kserve.rs
@@ -152,7 +152,8 @@
                 self.last(tag, "408 Request Timeout", "the request never came whole");
                 return Err("a request never came whole".to_owned());
             }
-            if part.is_none() && ring.is_empty() && self.side.occupant.outstayed(limits) {
+            let ending = self.context.shared.ending.load(Ordering::Acquire) && self.side.occupant.is_idle();
+            if part.is_none() && ring.is_empty() && (ending || self.side.occupant.outstayed(limits)) {
                 return Ok(());
             }
             while !ring.is_empty() {
--- a/heronslip/src/limits.rs
+++ b/heronslip/src/limits.rs
@@ -89,6 +89,9 @@
     pub board_entry: usize,
     /// Most entries of one event of the board.
     pub board_entries: usize,
+    /// What comes so long after SIGTERM is refused at once: clients stop sending new requests before, and the kill may
+    /// come soon after what comes later counts as lost with it, at 0.7 s.
+    pub stop_serving: Duration,
     /// After SIGTERM the listeners stay open this long.
     pub stop_listening: Duration,
     /// The program ends at the latest so long after its listeners have closed.
@@ -154,6 +157,7 @@
             board_retry_most: Duration::from_millis(1_000),
             board_entry: 4 * 1024,
             board_entries: memory / 1024, // what is kept of a worker takes more than that
+            stop_serving: Duration::from_millis(650),
             stop_listening: Duration::from_millis(700),
             // What came last before the listeners closed may take as long as any.
             stop_at_last: span(longest, 10_000).max(Duration::from_secs(3)),
--- a/heronslip/src/shutdown.rs
+++ b/heronslip/src/shutdown.rs
@@ -48,7 +48,9 @@
     let limits = &context.limits;
     log!("stop: signal; listening for {} ms more", limits.stop_listening.as_millis());
     // The front goes on sending for a while: what comes in that time is owed an answer like any other.
-    std::thread::sleep(limits.stop_listening);
+    std::thread::sleep(limits.stop_serving);
+    context.shared.ending.store(true, Ordering::Release);
+    std::thread::sleep(limits.stop_listening.saturating_sub(limits.stop_serving));
     log!("stop: closing the listeners");
     close(listeners, context);
     let since = Instant::now();
