--- a/heronslip/tests/system_calls.rs
+++ b/heronslip/tests/system_calls.rs
@@ -2,11 +2,10 @@
 mod common;
 
 use common::{call, connect, fastcgi_answer, frame, obliging_worker, Plan, Received, Stage};
-use heronslip_shim_control::{Call, Rates, CALLS, CONTROL_BYTES, CONTROL_VARIABLE};
+use heronslip_shim_control::{Call, ControlFile, Rates, CALLS, CONTROL_VARIABLE};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
-use std::os::unix::fs::FileExt;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::Command;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
@@ -30,22 +29,14 @@
     rates
 }
 
-/// Sets the rates in a control file, also of a shim that is loaded. The file is what the control's fields are in
-/// memory, the rates last.
-fn set(control: &Path, rates: Rates) {
-    let bytes: Vec<u8> = rates.iter().flat_map(|rate| rate.to_ne_bytes()).collect();
-    let file = std::fs::OpenOptions::new().write(true).open(control).expect("a control file");
-    file.write_all_at(&bytes, (CONTROL_BYTES - size_of::<Rates>()) as u64).expect("written");
-}
-
 /// The environment that loads the shim, and the file that controls it.
-fn failing(rates: Rates) -> (Vec<(&'static str, PathBuf)>, PathBuf) {
+fn failing(rates: Rates) -> (Vec<(&'static str, PathBuf)>, ControlFile) {
     static FILES: AtomicU64 = AtomicU64::new(0);
     let name = format!("control-{}-{}", std::process::id(), FILES.fetch_add(1, Ordering::Relaxed));
     let path = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(name);
-    std::fs::write(&path, vec![0; CONTROL_BYTES]).expect("written");
-    set(&path, rates);
-    (vec![("LD_PRELOAD", shim()), (CONTROL_VARIABLE, path.clone())], path)
+    let control = ControlFile::create(&path, 7).expect("a control file");
+    control.set_rates(&rates).expect("written");
+    (vec![("LD_PRELOAD", shim()), (CONTROL_VARIABLE, path)], control)
 }
 
 /// A worker that serves every call, and how many it got.
@@ -98,7 +89,7 @@
     let (environment, control) = failing(rates(&[]));
     let workers = vec![obliging_worker()];
     let mut stage = Stage::with(Plan { workers, environment, ..Plan::default() });
-    set(&control, rates(&[(Call::Accept, 1_000)]));
+    control.set_rates(&rates(&[(Call::Accept, 1_000)])).expect("written");
     let mut clients: Vec<_> = (1..=10u64).map(|id| (id, connect(stage.front))).collect();
     for (id, client) in &mut clients {
         client.write_all(&call(1, &format!("{id:016x}"), "3000", "x")).expect("written");
@@ -106,7 +97,7 @@
     stage.signal("-TERM");
     stage.logged("stop: closing the listeners");
     std::thread::sleep(Duration::from_millis(50)); // several tries to accept
-    set(&control, rates(&[]));
+    control.set_rates(&rates(&[])).expect("written");
     for (id, client) in &mut clients {
         let answer = fastcgi_answer(client).map(|(head, _, _)| head);
         assert!(answer.as_ref().is_ok_and(|head| head.starts_with("Status: ")), "client {id}: {answer:?}");
--- a/shim/control/src/lib.rs
+++ b/shim/control/src/lib.rs
@@ -2,6 +2,11 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+use std::fs::File;
+use std::io;
+use std::mem::offset_of;
+use std::os::unix::fs::FileExt;
+use std::path::Path;
 use std::sync::atomic::{AtomicI64, AtomicU32, AtomicU64, Ordering};
 
 /// The environment variable that names the file.
@@ -63,28 +68,6 @@
 const WEYL: u64 = 0x9e37_79b9_7f4a_7c15;
 
 impl Control {
-    /// Starts the random numbers.
-    pub fn seed(&self, seed: u64) {
-        self.random.store(seed, Ordering::Relaxed);
-    }
-
-    /// Sets how often each kind fails, in thousandths.
-    pub fn set_rates(&self, rates: &Rates) {
-        for (to, rate) in self.rates.iter().zip(rates) {
-            to.store(*rate, Ordering::Relaxed);
-        }
-    }
-
-    /// Steps the wall clock to so many nanoseconds beside the true one.
-    pub fn step_wall_clock(&self, nanoseconds: i64) {
-        self.wall_step.store(nanoseconds, Ordering::Relaxed);
-    }
-
-    /// How often each kind was made to fail.
-    pub fn injected(&self) -> [u64; CALLS.len()] {
-        std::array::from_fn(|n| self.injected[n].load(Ordering::Relaxed))
-    }
-
     /// What is added to the wall clock, in nanoseconds; counted if anything is.
     pub fn wall_step(&self) -> i64 {
         let step = self.wall_step.load(Ordering::Relaxed);
@@ -117,3 +100,48 @@
         fails
     }
 }
+
+/// The file as the fault tool writes and reads it, also while a shim has it mapped.
+#[derive(Debug)]
+pub struct ControlFile(File);
+
+impl ControlFile {
+    /// Makes a file in which nothing fails, with random numbers from this seed.
+    ///
+    /// # Errors
+    /// Fails if the file cannot be written.
+    pub fn create(path: &Path, seed: u64) -> io::Result<Self> {
+        let file = File::options().read(true).write(true).create(true).truncate(true).open(path)?;
+        file.write_all_at(&[0; CONTROL_BYTES], 0)?;
+        file.write_all_at(&seed.to_ne_bytes(), offset_of!(Control, random) as u64)?;
+        Ok(ControlFile(file))
+    }
+
+    /// Sets how often each kind of call fails.
+    ///
+    /// # Errors
+    /// Fails if the file cannot be written.
+    pub fn set_rates(&self, rates: &Rates) -> io::Result<()> {
+        let bytes: Vec<u8> = rates.iter().flat_map(|rate| rate.to_ne_bytes()).collect();
+        self.0.write_all_at(&bytes, offset_of!(Control, rates) as u64)
+    }
+
+    /// Steps the wall clock to so many nanoseconds beside the true one.
+    ///
+    /// # Errors
+    /// Fails if the file cannot be written.
+    pub fn step_wall_clock(&self, nanoseconds: i64) -> io::Result<()> {
+        self.0.write_all_at(&nanoseconds.to_ne_bytes(), offset_of!(Control, wall_step) as u64)
+    }
+
+    /// How often each kind was made to fail so far.
+    ///
+    /// # Errors
+    /// Fails if the file cannot be read.
+    pub fn injected(&self) -> io::Result<[u64; CALLS.len()]> {
+        let mut bytes = [0; 8 * CALLS.len()];
+        self.0.read_exact_at(&mut bytes, offset_of!(Control, injected) as u64)?;
+        let (counts, _) = bytes.as_chunks::<8>();
+        Ok(std::array::from_fn(|n| u64::from_ne_bytes(counts[n])))
+    }
+}
