--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod fleet;
 pub mod node;
 pub mod report;
+pub mod soak;
 pub mod time;
 pub mod world;
--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -3,6 +3,7 @@
 
 use clap::{Args, Parser, Subcommand};
 use heronslip_scale::experiment::Experiment;
+use heronslip_scale::soak::{PlayReport, SoakConfig, SoakError, SoakOptions};
 use heronslip_scale::{bounds, fleet, node};
 use serde::Serialize;
 use std::error::Error;
@@ -34,6 +35,33 @@
         #[arg(long, default_value = "deploy/balancer.toml")]
         deploy: PathBuf,
     },
+    /// Seeded faults round real front ends, and a checker of the rules. Ends with 0 only if none was broken.
+    Soak(Soak),
+}
+
+/// What a soak plays.
+#[derive(Args)]
+struct Soak {
+    /// What plays are drawn from.
+    config: PathBuf,
+    /// Seeds, FROM..TO, both played.
+    #[arg(long, default_value = "1..3", value_parser = seeds)]
+    seeds: std::ops::RangeInclusive<u64>,
+    /// The deploy file whose `run` starts a front end.
+    #[arg(long, default_value = "deploy/balancer.toml")]
+    deploy: PathBuf,
+    /// The shim's library; else the one beside this program.
+    #[arg(long)]
+    shim: Option<PathBuf>,
+    /// Folder for the records, SEED.jsonl.
+    #[arg(long)]
+    out: Option<PathBuf>,
+}
+
+fn seeds(text: &str) -> Result<std::ops::RangeInclusive<u64>, String> {
+    let number = |text: &str| text.parse::<u64>().map_err(|e| format!("{text}: {e}"));
+    let (from, to) = text.split_once("..").unwrap_or((text, text));
+    Ok(number(from)?..=number(to)?)
 }
 
 #[derive(Args)]
@@ -105,6 +133,7 @@
     let (result, run) = match CommandLine::parse().role {
         Role::Fleet(run) => (run_fleet(&run), run),
         Role::Node { run, deploy } => (run_node(&run, &deploy), run),
+        Role::Soak(soak) => return run_soak(&soak),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -136,3 +165,61 @@
     let report = runtime.block_on(node::run(&experiment, settings, &told, &deploy))?;
     run.write(&experiment.name, &report, &report.markdown())
 }
+
+fn run_soak(soak: &Soak) -> ExitCode {
+    match play_soak(soak) {
+        Ok(0) => ExitCode::SUCCESS,
+        Ok(broken) => {
+            eprintln!("heronslip-scale: {broken} broken rules");
+            ExitCode::FAILURE
+        }
+        Err(error) => {
+            eprintln!("heronslip-scale: {}: {error}", soak.config.display());
+            match error.downcast_ref() {
+                Some(SoakError::Interrupted) => ExitCode::from(INTERRUPTED),
+                _ => ExitCode::from(BAD_EXPERIMENT),
+            }
+        }
+    }
+}
+
+fn play_soak(soak: &Soak) -> Result<usize, Box<dyn Error>> {
+    let beside = std::env::current_exe()?.with_file_name("libheronslip_shim.so");
+    let options = SoakOptions {
+        config: SoakConfig::read(&soak.config)?,
+        deploy: node::Deploy::read(&soak.deploy)?,
+        shim: std::path::absolute(soak.shim.clone().unwrap_or(beside))?,
+        seeds: soak.seeds.clone(),
+        out: soak.out.clone(),
+    };
+    println!("| seed | s | front ends, workers | faults | requests | served | refused, failed | probes | rules broken |");
+    println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
+    let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
+    Ok(runtime.block_on(heronslip_scale::soak::soak(&options, |report| print_play(report)))?)
+}
+
+fn print_play(report: &PlayReport) {
+    let plan = &report.plan;
+    let count = |name: &str| report.answers.get(name).copied().unwrap_or(0);
+    let rules: std::collections::BTreeSet<String> =
+        report.violations.iter().map(|violation| violation.rule.to_string()).collect();
+    let rules =
+        if rules.is_empty() { "none".to_owned() } else { rules.into_iter().collect::<Vec<_>>().join(", ") };
+    println!(
+        "| {} | {:.0} | {}, {} | {} | {} | {:.1}% | {}, {} | {} | {rules} |",
+        plan.seed,
+        plan.length as f64 / 1e6,
+        plan.front_ends,
+        plan.workers,
+        plan.fault_names(),
+        report.requests,
+        report.served(),
+        count("refused"),
+        count("failed"),
+        report.probes,
+    );
+    if !report.never_injected.is_empty() {
+        println!("seed {}: wanted and never injected: {}", plan.seed, report.never_injected.join(", "));
+    }
+    report.stories.iter().for_each(|story| eprintln!("seed {}: {story}", plan.seed));
+}
--- a/scale/src/node/mod.rs
+++ b/scale/src/node/mod.rs
@@ -4,13 +4,14 @@
 //! Front ends that do not run show at the workers as load and as copies (see [`crate::world::Others`]) and at the
 //! board as changes of the list.
 mod board;
-mod clients;
+pub(crate) mod clients;
 mod deploy;
 mod process;
 mod run;
 pub mod usage;
-mod wire;
+pub(crate) mod wire;
 mod workers;
 
 pub use deploy::{settings, Deploy, DeployError};
+pub(crate) use run::interrupted;
 pub use run::{run, NodeError};
--- a/scale/src/node/run.rs
+++ b/scale/src/node/run.rs
@@ -80,7 +80,7 @@
 }
 
 /// Waits for SIGINT or SIGTERM.
-async fn interrupted() {
+pub(crate) async fn interrupted() {
     use tokio::signal::unix::{signal, SignalKind};
     let (Ok(mut interrupt), Ok(mut terminate)) =
         (signal(SignalKind::interrupt()), signal(SignalKind::terminate()))
--- a/scale/src/node/wire.rs
+++ b/scale/src/node/wire.rs
@@ -1,6 +1,7 @@
 //! The two protocols round a front end, from their published pages: FastCGI 1.0 as its clients speak it, and the
 //! binary frames as workers do.
 use std::io;
+use std::time::Instant;
 use tokio::io::{AsyncRead, AsyncReadExt};
 
 const VERSION: u8 = 1;
@@ -98,6 +99,8 @@
     pub fields: String,
     /// Bytes it took on the wire.
     pub bytes: usize,
+    /// When its first byte was read.
+    pub began: Instant,
 }
 
 impl Frame {
@@ -113,7 +116,9 @@
 /// Fails with the connection, or if what comes is no frame.
 pub async fn read_frame(from: &mut (impl AsyncRead + Unpin)) -> io::Result<Frame> {
     let mut head = [0; HEADER];
-    from.read_exact(&mut head).await?;
+    from.read_exact(&mut head[..1]).await?;
+    let began = Instant::now();
+    from.read_exact(&mut head[1..]).await?;
     let [mark, code, f0, f1, b0, b1, b2, b3, id @ ..] = head;
     let fields = usize::from(u16::from_be_bytes([f0, f1]));
     let body = u32::from_be_bytes([b0, b1, b2, b3]) as usize;
@@ -124,7 +129,7 @@
     from.read_exact(&mut rest).await?;
     let fields_text = String::from_utf8_lossy(&rest[..fields]).into_owned();
     let bytes = HEADER + rest.len();
-    Ok(Frame { code, id: u64::from_be_bytes(id), fields: fields_text, bytes })
+    Ok(Frame { code, id: u64::from_be_bytes(id), fields: fields_text, bytes, began })
 }
 
 /// A worker's answer as bytes.
