--- a/scale/src/main.rs
+++ b/scale/src/main.rs
@@ -195,7 +195,7 @@
     println!("| seed | s | front ends, workers | faults | requests | served | refused, failed | probes | rules broken |");
     println!("| --- | --- | --- | --- | --- | --- | --- | --- | --- |");
     let runtime = tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build()?;
-    Ok(runtime.block_on(heronslip_scale::soak::soak(&options, |report| print_play(report)))?)
+    Ok(runtime.block_on(heronslip_scale::soak::soak(&options, print_play))?)
 }
 
 fn print_play(report: &PlayReport) {
--- a/scale/src/soak/checker/requests.rs
+++ b/scale/src/soak/checker/requests.rs
@@ -21,6 +21,9 @@
     cut: Option<(At, usize)>,
 }
 
+/// The lives of each front end, with their starts.
+type Lives = BTreeMap<usize, Vec<(At, Life)>>;
+
 /// A life of a front end's process.
 #[derive(Default)]
 struct Life {
@@ -36,9 +39,9 @@
     }
 }
 
-fn gather(records: &[Record]) -> (BTreeMap<u64, Sent>, BTreeMap<usize, Vec<(At, Life)>>) {
+fn gather(records: &[Record]) -> (BTreeMap<u64, Sent>, Lives) {
     let mut requests = BTreeMap::new();
-    let mut lives: BTreeMap<usize, Vec<(At, Life)>> = BTreeMap::new();
+    let mut lives = Lives::new();
     for Record { at, event } in records {
         let at = *at;
         match event {
@@ -94,7 +97,7 @@
     (requests, lives)
 }
 
-fn judge(request: u64, sent: &Sent, lives: &BTreeMap<usize, Vec<(At, Life)>>, found: &mut Vec<Violation>) {
+fn judge(request: u64, sent: &Sent, lives: &Lives, found: &mut Vec<Violation>) {
     let mut report = |rule, at, text: String| {
         found.push(Violation { rule, at, request: Some(request), text });
     };
@@ -120,7 +123,7 @@
 }
 
 /// Why a request without an answer is lost, if it is.
-fn lost(sent: &Sent, lives: &BTreeMap<usize, Vec<(At, Life)>>) -> Option<String> {
+fn lost(sent: &Sent, lives: &Lives) -> Option<String> {
     let life = lives.get(&sent.front_end).and_then(|l| l.iter().rev().find(|(from, _)| *from <= sent.at));
     let life = life.map(|(_, life)| life);
     let Some((cut, open)) = sent.cut else { return Some("no answer, and its connection stands".to_owned()) };
--- a/scale/src/soak/run.rs
+++ b/scale/src/soak/run.rs
@@ -272,7 +272,6 @@
             classes: vec![Effect::Safe, Effect::Keyed { window: KEY_WINDOW_MS * MS }, Effect::Unsafe],
             drain_grace: DRAIN_GRACE_MS * MS,
             max_attempts: MAX_ATTEMPTS,
-            longest_deadline: self.plan.give_up_ms * MS,
             fall_multiple: FALL_MULTIPLE,
             fall_span: FALL_MS * MS,
             cold_from: COLD_FROM,
