--- a/src/lib.rs
+++ b/src/lib.rs
@@ -39,13 +39,20 @@
 #![forbid(unsafe_code)]
 #![warn(missing_docs)]
 
+mod admission;
 mod control;
 mod footprint;
+mod health;
 mod interface;
 pub mod json;
+mod placement;
 mod readiness;
+mod replication;
+mod retries;
 mod settings;
+mod slow_start;
 mod state;
+mod survey;
 
 pub use footprint::Footprint;
 pub use interface::*;
--- a/src/readiness.rs
+++ b/src/readiness.rs
@@ -1,10 +1,11 @@
 //! Readiness leases: how long a worker may be taken for ready while discovery cannot tell otherwise.
 //!
-//! While discovery is current the list decides. Once it is lost, readiness is a lease for each worker on the gateway's
-//! clock. It runs from the latest moment at which the worker is known to have taken work: a call that it served and an
-//! order that it carried out prove it for the moment of their sending, a probe likewise. It lasts for the grace that
-//! the drain rule gives. A drain that the gateway cannot have heard of began after that moment, so whatever is sent
-//! under the lease is sent within the grace. A worker whose lease has run out is probed before it gets anything new.
+//! While discovery is current the list decides. Once it is lost, readiness is a lease for each worker on the
+//! gateway's clock. It runs from the latest moment at which the worker is known to have taken work: a call
+//! that it served and an order that it carried out prove it for the moment of their sending, a probe
+//! likewise. It lasts for the grace that the drain rule gives. A drain that the gateway cannot have heard of
+//! began after that moment, so whatever is sent under the lease is sent within the grace. A worker whose
+//! lease has run out is probed before it gets anything new.
 use crate::interface::{Action, DiscoveryState, Event, Micros, Outcome, RequestId};
 use crate::state::Controller;
 
@@ -13,10 +14,11 @@
 const LEASE_MARGIN: Micros = 100 * MS;
 /// A lease that ends sooner is not used: what is sent under it would come too late.
 const LEASE_LEFT: Micros = 20 * MS;
-/// A request waits this long for the probe of one worker before another is probed for it: several round trips.
+/// A request waits this long for the probe of one worker before another is probed for it: several round
+/// trips.
 const PROBE_WAIT: Micros = 60 * MS;
-/// A worker that does not take work, or does not answer, is left alone for this long, twice as long each time, up to
-/// the second.
+/// A worker that does not take work, or does not answer, is left alone for this long, twice as long each
+/// time, up to the second.
 const PAUSE: (Micros, Micros) = (200 * MS, 5_000 * MS);
 
 /// What is known of discovery.
@@ -79,8 +81,8 @@
         }
     }
 
-    /// Guards against news that waits unread while the gateway stood still: until discovery is heard again, the list
-    /// is only as good as it was before.
+    /// Guards against news that waits unread while the gateway stood still: until discovery is heard again,
+    /// the list is only as good as it was before.
     pub(crate) fn stood_still(&mut self, since: Micros) {
         if self.discovery.reported {
             self.lose_discovery(since);
@@ -98,8 +100,8 @@
         self.discovery.lost
     }
 
-    /// Until when something new may begin to go to a worker on the present knowledge; `None` while discovery is
-    /// current.
+    /// Until when something new may begin to go to a worker on the present knowledge; `None` while discovery
+    /// is current.
     pub(crate) fn lease_end(&self, w: usize) -> Option<Micros> {
         let grace = self.set.drain_grace;
         let span = grace - LEASE_MARGIN.min(grace / 4);
@@ -143,7 +145,8 @@
         }
     }
 
-    /// Whether a request may go to a worker at once. If not, the worker is probed and the request held for that.
+    /// Whether a request may go to a worker at once. If not, the worker is probed and the request held for
+    /// that.
     pub(crate) fn assured(&mut self, now: Micros, id: RequestId, w: usize, out: &mut Vec<Action>) -> bool {
         if self.leased(w, now) {
             return true;
@@ -157,9 +160,9 @@
         false
     }
 
-    /// Of these workers those among which a request may choose: once it has waited for a probe, the one that was
-    /// probed for it if that proved ready, or its random choice would fall to the workers that others have proven.
-    /// `None` while the answer may still come soon.
+    /// Of these workers those among which a request may choose: once it has waited for a probe, the one that
+    /// was probed for it if that proved ready, or its random choice would fall to the workers that others
+    /// have proven. `None` while the answer may still come soon.
     pub(crate) fn after_probe(&self, id: RequestId, among: Vec<usize>, now: Micros) -> Option<Vec<usize>> {
         let Some((w, since)) = self.requests.get(&id).and_then(|request| request.probing) else {
             return Some(among);
@@ -195,8 +198,8 @@
         self.retry_held(None, now, out);
     }
 
-    /// A worker is known to have taken work that was sent to it at `sent`. Without discovery, one that could not be
-    /// reached before may be a new process, of whose start nobody tells: it counts as cold.
+    /// A worker is known to have taken work that was sent to it at `sent`. Without discovery, one that could
+    /// not be reached before may be a new process, of whose start nobody tells: it counts as cold.
     pub(crate) fn takes_work(&mut self, w: usize, sent: Micros) {
         let worker = &mut self.workers[w];
         worker.lease.prove(sent);
--- a/tests/inside/controller.rs
+++ b/tests/inside/controller.rs
@@ -1,5 +1,5 @@
 //! What only the crate itself sees: how long things are kept, and the design's worked numbers.
-use crate::control::{theta, virtual_loss_chance};
+use crate::replication::{theta, virtual_loss_chance};
 use crate::{Action, Controller, Entry, Event, Outcome, Settings, WorkerState};
 
 /// Nothing may grow with all that a gateway has ever seen.
