Say why attempts end, requests are refused and workers are probed

The incident's logs named neither request nor reason. A line about the board that repeats is counted.

--- a/heronslip/src/core/mod.rs
+++ b/heronslip/src/core/mod.rs
@@ -65,6 +65,21 @@
     withdrawn: u64,
 }
 
+/// How an attempt or a probe ended, in words.
+fn reason(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::Ok => "served",
+        Outcome::Error => "answered with an error",
+        Outcome::Full => "turned away",
+        Outcome::Timeout => "no answer in time",
+        Outcome::ConnectFailed => "no connection",
+        Outcome::Reset => "its connection ended",
+        Outcome::Cancelled => "called off",
+        Outcome::Moot => "not sent",
+        Outcome::Miss => "the function is not loaded there",
+    }
+}
+
 /// The owner thread's state.
 pub struct Core {
     controller: Controller,
@@ -289,6 +304,15 @@
         let Some(out) = open.attempts.get_mut(attempt).filter(|a| a.open) else { return };
         out.open = false;
         let elapsed = self.clock.now().saturating_sub(out.sent);
+        if report.outcome != Outcome::Ok {
+            note!(
+                "request {:016x}: attempt {attempt} at {} ended after {} ms: {}",
+                open.request.wire_id,
+                out.worker,
+                elapsed / 1_000,
+                reason(report.outcome)
+            );
+        }
         let Report { outcome, warm, crowd, inflight, payload } = report;
         if let (Outcome::Ok, Some(payload)) = (outcome, payload) {
             self.answer(id, Answer::Served(payload));
@@ -314,6 +338,9 @@
 
     fn probed(&mut self, probe: u64, outcome: Outcome, inflight: Option<f64>) {
         if let Some(worker) = self.probes.remove(&probe) {
+            if outcome != Outcome::Ok {
+                note!("worker {worker}: takes no work, by its probe: {}", reason(outcome));
+            }
             self.events.push_back(Event::Probed { worker, outcome, inflight });
         }
     }
@@ -392,10 +419,12 @@
                 }
             }
             Action::Refuse { id, retry_after } => {
+                self.note_end(id, "refused");
                 self.answer(id, Answer::Refused { wait: retry_after });
                 self.forget(id);
             }
             Action::Fail { id } => {
+                self.note_end(id, "failed");
                 self.answer(id, Answer::Failed);
                 self.forget(id);
             }
@@ -416,6 +445,7 @@
                 self.timers.set(now + self.limits.order, Due::Order(order));
             }
             Action::Probe { worker } => {
+                note!("worker {worker}: probed, as its readiness is not known any more");
                 self.last += 1;
                 let probe = self.last;
                 let room = self.make_room(&worker, true);
@@ -438,6 +468,14 @@
         }
     }
 
+    /// A line for an answer that the module decided on.
+    fn note_end(&self, id: u64, how: &str) {
+        let Some(open) = self.requests.get(&id).filter(|open| !open.answered) else { return };
+        let waited = self.clock.now().saturating_sub(self.clock.at(open.request.read_at));
+        let (wire_id, attempts) = (open.request.wire_id, open.attempts.len());
+        note!("request {wire_id:016x}: {how} after {} ms and {attempts} attempts", waited / 1_000);
+    }
+
     /// Until when the first byte of something new may go to a worker. The module's decision may wait for a
     /// connection or a full socket, and what it rests on may run out meanwhile.
     fn until(&self, worker: &str) -> Option<Instant> {
--- a/heronslip/src/discovery/client.rs
+++ b/heronslip/src/discovery/client.rs
@@ -211,17 +211,42 @@
     }
 }
 
+/// A line of the log that is written when it changes; of those like it only their number is told.
+#[derive(Default)]
+struct Repeats {
+    line: String,
+    more: u64,
+}
+
+impl Repeats {
+    fn tell(&mut self, line: String) {
+        if line == self.line {
+            self.more += 1;
+            return;
+        }
+        if self.more > 0 {
+            note!("{} ({} more times)", self.line, self.more);
+        }
+        note!("{line}");
+        (self.line, self.more) = (line, 0);
+    }
+}
+
 /// Follows the board for ever: whenever the connection ends or the board moves it calls again, telling the
 /// last event seen.
 pub fn follow(board: &Board, mut follower: Follower, limits: &Limits, seed: u64) {
     let mut backoff = Backoff::new(limits.board_retry, limits.board_retry_most, seed);
+    let mut ends = Repeats::default();
     loop {
         let (at, before) = (board.address(), follower.last);
         if let Some(address) = at {
             follower.is_lost();
             if let Err(why) = watch(board, address, &mut follower, limits) {
                 follower.is_lost();
-                note!("board: connection to {address} ended after event {}: {why}", follower.last);
+                ends.tell(format!(
+                    "board: connection to {address} ended after event {}: {why}",
+                    follower.last
+                ));
             }
         }
         if follower.last != before || board.address() != at {
