--- a/scale/src/fleet/engine.rs
+++ b/scale/src/fleet/engine.rs
@@ -372,6 +372,7 @@
             .iter()
             .map(FrontEnd::orders)
             .fold((0, 0, 0), |sum, o| (sum.0 + o.holds, sum.1 + o.questions, sum.2 + o.unloads));
+        let probes = self.front_ends.iter().map(|front_end| front_end.orders().probes).sum();
         let footprints: Vec<_> = self.front_ends.iter().map(FrontEnd::footprint).collect();
         let mean = |of: &dyn Fn(&heronslip_policy::Footprint) -> usize| {
             footprints.iter().map(of).sum::<usize>() / footprints.len().max(1)
@@ -402,6 +403,7 @@
                 question_bytes_s: each(orders.1 * ORDER_BYTES),
                 holds_s: each(orders.0),
                 questions_s: each(orders.1),
+                probes_s: each(probes),
                 unloads_s: each(orders.2),
             },
             workers: WorkerReport {
--- a/scale/src/report.rs
+++ b/scale/src/report.rs
@@ -100,6 +100,8 @@
     pub questions_s: f64,
     /// Orders to unload copies.
     pub unloads_s: f64,
+    /// Probes, over the whole run.
+    pub probes_s: f64,
 }
 
 /// Workers and store over the whole run.
@@ -262,6 +264,7 @@
         t.number("list, B/s a front end", c.list_bytes_s, 1);
         t.number("orders, B/s a front end", c.hold_bytes_s, 1);
         t.number("questions, B/s a front end", c.question_bytes_s, 1);
+        t.number("probes/s a front end", c.probes_s, 2);
         t.row("loads, failed", format!("{}, {}", self.workers.loads, self.workers.failed_loads));
         t.number("workers connected to a front end", self.workers.connections_of_a_front_end, 1);
         t.row(
