Test of cold workers: bind by the settings, not by the pace of the machine

a_worker_that_has_just_started_is_cold_... failed once beside load (62 of 200 calls to the cold worker): its budget grows with time, and the calls took longer.

--- a/heronslip/tests/wall_clock.rs
+++ b/heronslip/tests/wall_clock.rs
@@ -68,8 +68,13 @@
 /// Our clock is ahead: a worker that has just started looks an hour old, and would get the calls of a warm one.
 #[test]
 fn a_worker_that_has_just_started_is_cold_whatever_our_clock_shows() {
-    let [old, new] = calls_after_a_start(-HOUR_MS, SETTINGS, Duration::ZERO);
-    assert!(old > 4 * new, "{new} calls to the cold worker, {old} to the warm one");
+    // A cold worker may get next to nothing for half an hour, however slow this machine is.
+    let settings = SETTINGS
+        .replace(r#""warm-within":17000"#, r#""warm-within":1800000"#)
+        .replace(r#""cold-from":0.2"#, r#""cold-from":0"#)
+        .replace(r#""fall-multiple":2"#, r#""fall-multiple":0.01"#);
+    let [old, new] = calls_after_a_start(-HOUR_MS, &settings, Duration::ZERO);
+    assert!(new <= 5, "{new} calls to the cold worker, {old} to the warm one");
 }
 
 /// Our clock is behind: a worker that started long ago looks as if it were still to start.
