--- a/scale/src/soak/board.rs
+++ b/scale/src/soak/board.rs
@@ -1,9 +1,10 @@
 //! The stand-in board: one list, told to each front end at an address of its own, which can fail.
+use super::network;
 use super::record::{Event, Listing, Outage, Recorder};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -138,7 +139,7 @@
 
     /// Serves an address of a front end's side for as long as it is the present one.
     async fn listen(&self, front_end: usize, number: u32) -> io::Result<()> {
-        let listener = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)), QUEUE)?;
+        let listener = bind(SocketAddr::from((network::board(), 0)), QUEUE)?;
         let address = listener.local_addr()?;
         if let Ok(mut addresses) = self.0.sides[front_end].addresses.lock() {
             addresses.push(address);
--- a/scale/src/soak/mod.rs
+++ b/scale/src/soak/mod.rs
@@ -8,6 +8,7 @@
 pub mod checker;
 mod clients;
 pub mod config;
+mod network;
 pub mod plan;
 mod process;
 pub mod record;
--- a/scale/src/soak/plan.rs
+++ b/scale/src/soak/plan.rs
@@ -13,6 +13,8 @@
 const CALM_BEGIN_S: f64 = 3.0;
 /// No fault after, counted from the end: what was broken is whole again.
 const CALM_END_S: f64 = 3.0;
+/// The longest wait is so many times the mean work, at least.
+const GIVE_UP_OVER_WORK: u64 = 12;
 /// Part of the workers' capacity that clients ask for, at most.
 const MOST_BUSY: f64 = 0.5;
 /// Workers that drain inside an outage, at most.
@@ -152,6 +154,8 @@
             wall_step_s: 0,
             faults: Vec::new(),
         };
+        // Most calls can be served within their shortest time, on a loaded machine too.
+        plan.work = plan.work.min(plan.give_up_ms * 1_000 / GIVE_UP_OVER_WORK);
         // No more than the workers can do while some of them are away.
         let capacity = plan.workers as f64 * f64::from(plan.lanes) / (plan.work as f64 / SECOND);
         plan.calls_per_s = plan.calls_per_s.min(MOST_BUSY * capacity / plan.front_ends as f64);
--- a/scale/src/soak/run.rs
+++ b/scale/src/soak/run.rs
@@ -3,6 +3,7 @@
 use super::checker::{check, Effect, Rules, Violation};
 use super::clients::{self, bad_client, Class, Clients, Door};
 use super::config::{ConfigError, SoakConfig};
+use super::network;
 use super::plan::{Fault, Plan};
 use super::process::{Launch, LogTail, Process};
 use super::record::{Answer, Event, Listing, Outage, Record, Recorder, Signal};
@@ -16,7 +17,7 @@
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::AtomicU64;
 use std::sync::{Arc, Mutex};
@@ -543,8 +544,7 @@
 impl FrontEnd {
     fn new(number: usize, plan: &Plan, folder: &Folder) -> io::Result<FrontEnd> {
         // The same address over all lives: a port that is free now, on an address of its own.
-        let address = Ipv4Addr::new(127, 77, 0, number as u8 + 1);
-        let listen = std::net::TcpListener::bind((address, 0))?.local_addr()?;
+        let listen = std::net::TcpListener::bind((network::front_end(number), 0))?.local_addr()?;
         let control_path = folder.0.join(format!("control-{number}"));
         let control = ControlFile::create(&control_path, plan.seed + number as u64)?;
         let front_end = FrontEnd {
--- a/scale/src/soak/worker.rs
+++ b/scale/src/soak/worker.rs
@@ -1,11 +1,12 @@
 //! A stand-in worker: it loads, serves, turns away, drains, dies, hangs and answers oddly, as it is told.
+use super::network;
 use super::record::{Command, Event, Recorder, Reply};
 use crate::node::wire::{answer, read_frame, Frame};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 use std::collections::HashSet;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -100,7 +101,7 @@
         });
         let mut addresses = Vec::new();
         for front_end in 0..front_ends {
-            let listener = bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+            let listener = bind(SocketAddr::from((network::workers(), 0)))?;
             let address = listener.local_addr()?;
             addresses.push(address);
             tokio::spawn(worker.clone().accept(front_end, address, listener));
