--- a/scale/src/soak/worker.rs
+++ b/scale/src/soak/worker.rs
@@ -9,7 +9,7 @@
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -20,10 +20,11 @@
 const HOLD: u8 = 6;
 const OK: u8 = 200;
 const FULL: u8 = 203;
+const OVER: u8 = 205;
 const TAKES_WORK: u8 = 206;
 const TAKES_NO_WORK: u8 = 207;
-/// Calls that wait for a lane, for each lane.
-const WAITING_PER_LANE: usize = 8;
+/// Calls that wait for a lane, for each lane: enough that a worker can be sent more than it can do.
+const WAITING_PER_LANE: usize = 100;
 /// A load takes this long.
 const LOAD: Duration = Duration::from_millis(150);
 
@@ -216,12 +217,13 @@
         let turned_away = standing.draining || standing.refusing;
         let (worker, link, id) = (self.clone(), link.clone(), frame.id);
         match command {
-            Command::Call { request, .. } => {
+            Command::Call { request, budget_ms } => {
                 if let Ok(mut open) = link.open.lock() {
                     open.as_mut().map(|open| open.insert(request));
                 }
                 let function = hex("path").unwrap_or(0);
-                tokio::spawn(async move { worker.call(&link, request, function, turned_away).await });
+                let until = frame.began + Duration::from_millis(budget_ms);
+                tokio::spawn(async move { worker.call(&link, request, function, until, turned_away).await });
             }
             Command::GiveUp { request } => {
                 if let Ok(mut open) = link.open.lock() {
@@ -266,13 +268,18 @@
         stands(false)
     }
 
-    async fn call(&self, link: &Link, request: u64, function: u64, turned_away: bool) {
+    async fn call(&self, link: &Link, request: u64, function: u64, until: Instant, turned_away: bool) {
         let most = self.common.lanes as usize * WAITING_PER_LANE;
         if turned_away || self.waiting.load(Ordering::Acquire) >= most {
             return self.reply(link, request, Reply::TurnedAway, &answer(FULL, request, "", &[])).await;
         }
         self.waiting.fetch_add(1, Ordering::AcqRel);
         let lane = self.lanes.acquire().await;
+        if Instant::now() > until {
+            // One whose time is up is not begun.
+            self.waiting.fetch_sub(1, Ordering::AcqRel);
+            return self.reply(link, request, Reply::TurnedAway, &answer(OVER, request, "", &[])).await;
+        }
         let warm = self.load(function, false).await;
         self.load(function, true).await;
         let (drawn, odd, kind) = match self.random.lock() {
