--- a/heronslip/tests/system_calls.rs
+++ b/heronslip/tests/system_calls.rs
@@ -1,7 +1,7 @@
 //! System calls that fail for a moment, in the ways that Linux documents.
 mod common;
 
-use common::{call, connect, fastcgi_answer, frame, obliging_worker, Plan, Received, Stage};
+use common::{call, connect, fastcgi_answer, frame, obliging_worker, Plan, Received, Stage, PATIENCE};
 use heronslip_shim_control::{Call, ControlFile, Rates, CALLS, CONTROL_VARIABLE};
 use std::io::Write;
 use std::net::{SocketAddr, TcpListener};
@@ -9,7 +9,7 @@
 use std::process::Command;
 use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// The shim, built into a folder of the tests.
 fn shim() -> PathBuf {
@@ -105,6 +105,24 @@
     assert!(stage.ended());
 }
 
+/// No socket is to be had when the program starts: it goes on trying, and listens once there is one.
+#[test]
+fn a_start_waits_for_a_socket() {
+    let (environment, control) = failing(rates(&[(Call::Socket, 1_000)]));
+    let until = Instant::now() + PATIENCE;
+    let frees = std::thread::spawn(move || {
+        let tries = || control.injected().expect("read")[Call::Socket as usize];
+        while tries() < 3 && Instant::now() < until {
+            std::thread::sleep(Duration::from_millis(5));
+        }
+        control.set_rates(&rates(&[])).expect("written");
+        tries()
+    });
+    let mut stage = Stage::with(Plan { workers: vec![obliging_worker()], environment, ..Plan::default() });
+    assert!(frees.join().expect("sound") >= 3);
+    assert!(stage.stop());
+}
+
 /// Accepts, sockets, connects, reads, writes and waits fail often, each for a moment: every call gets its answer.
 #[test]
 fn calls_are_answered_while_system_calls_fail() {
