Go on trying to listen at a start while sockets are short for a moment

Cause: one failed bind ended the start. Change: up to 8 s of tries where descriptors or memory are short, the call was interrupted or the address is not free yet; anything else ends the start at once, as before. Measured: a_start_waits_for_a_socket (ended with status 1 before), all tests of system_calls.

--- a/heronslip/src/lib.rs
+++ b/heronslip/src/lib.rs
@@ -27,9 +27,11 @@
 use front::{Acceptor, FrontContext};
 use limits::Budget;
 use may::net::TcpListener;
+use nix::errno::Errno;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
 use std::sync::{mpsc, Arc};
+use std::time::Duration;
 
 /// Runs one front end until it has been told to stop and nothing is open.
 pub fn run(config: Config, signals: signal_hook::iterator::Signals) -> Result<(), String> {
@@ -105,11 +107,33 @@
     log!("start: {name} listens on {address}");
 }
 
+/// Binds a listener, and tries again for a while: descriptors and memory may be short for a moment, and the address
+/// may still be held by the process that ended before this one.
+fn bind(address: SocketAddr) -> std::io::Result<TcpListener> {
+    const TRIES: u32 = 400;
+    const PAUSE: Duration = Duration::from_millis(20);
+    for _ in 1..TRIES {
+        match TcpListener::bind(address) {
+            Err(e) if is_momentary(&e) => note!("start: {address}: {e}"),
+            bound => return bound,
+        }
+        std::thread::sleep(PAUSE);
+    }
+    TcpListener::bind(address)
+}
+
+/// Whether a failure to bind may pass by itself.
+fn is_momentary(error: &std::io::Error) -> bool {
+    let error = error.raw_os_error().map(Errno::from_raw);
+    let short = matches!(error, Some(Errno::EMFILE | Errno::ENFILE | Errno::ENOBUFS | Errno::ENOMEM));
+    short || matches!(error, Some(Errno::EINTR | Errno::EADDRINUSE | Errno::EADDRNOTAVAIL))
+}
+
 fn listen(
     address: SocketAddr, context: &FrontContext, name: &'static str,
     serve: fn(net::Socket, &FrontContext, net::Permit),
 ) -> Result<Acceptor, String> {
-    let listener = TcpListener::bind(address).map_err(|e| format!("{address}: {e}"))?;
+    let listener = bind(address).map_err(|e| format!("{address}: {e}"))?;
     let (acceptor, context) = (Acceptor::new(listener), context.clone());
     let inside = acceptor.clone();
     let accept = move || front::accept(&inside, &context, name, serve);
