End a play's front ends before an interrupted soak ends

On SIGINT the tool ended while its front ends were still being killed: seen as three processes left for a moment. They are waited for now, whatever ends a play.

--- a/scale/src/soak/run.rs
+++ b/scale/src/soak/run.rs
@@ -123,10 +123,15 @@
     let mut broken = 0;
     for seed in options.seeds.clone() {
         let plan = Plan::draw(&options.config, seed);
+        let folder = Folder::new(plan.seed)?;
+        let play = Arc::new(Play::set_up(options, plan, &folder).await?);
         let report = tokio::select! {
-            report = play(options, plan) => report?,
-            () = crate::node::interrupted() => return Err(SoakError::Interrupted),
+            report = play.clone().run(options) => report,
+            () = crate::node::interrupted() => Err(SoakError::Interrupted),
         };
+        // Whatever ended the play: its front ends have ended when this goes on.
+        play.kill_all().await;
+        let report = report?;
         broken += report.violations.len();
         each(&report);
     }
@@ -175,37 +180,39 @@
     clients: Arc<clients::Common>,
 }
 
-async fn play(options: &SoakOptions, plan: Plan) -> Result<PlayReport, SoakError> {
-    let folder = Folder::new(plan.seed)?;
-    let play = Arc::new(Play::set_up(options, plan, &folder).await?);
-    for front_end in &play.front_ends {
-        play.start(front_end).await?;
-    }
-    let mut tasks = JoinSet::new();
-    for front_end in &play.front_ends {
-        play.until_ready(front_end).await;
-        tasks.spawn(play.usual_clients(front_end).run());
-    }
-    tasks.spawn(play.clone().watch_usage());
-    let began = Instant::now();
-    let mut faults = JoinSet::new();
-    for (at, fault) in play.plan.faults.clone() {
-        let at = Duration::from_micros(at);
-        tokio::time::sleep(at.saturating_sub(began.elapsed())).await;
-        faults.spawn(play.clone().inject(fault));
-    }
-    tokio::time::sleep(Duration::from_micros(play.plan.length).saturating_sub(began.elapsed())).await;
-    while faults.join_next().await.is_some() {}
-    tasks.abort_all();
-    while tasks.join_next().await.is_some() {}
-    tokio::time::sleep(Duration::from_millis(play.plan.give_up_ms) + END_SLACK).await;
-    for front_end in &play.front_ends {
-        play.kill(front_end).await;
-    }
-    play.report(options)
-}
-
 impl Play {
+    async fn run(self: Arc<Self>, options: &SoakOptions) -> Result<PlayReport, SoakError> {
+        for front_end in &self.front_ends {
+            self.start(front_end).await?;
+        }
+        let mut tasks = JoinSet::new();
+        for front_end in &self.front_ends {
+            self.until_ready(front_end).await;
+            tasks.spawn(self.usual_clients(front_end).run());
+        }
+        tasks.spawn(self.clone().watch_usage());
+        let began = Instant::now();
+        let mut faults = JoinSet::new();
+        for (at, fault) in self.plan.faults.clone() {
+            let at = Duration::from_micros(at);
+            tokio::time::sleep(at.saturating_sub(began.elapsed())).await;
+            faults.spawn(self.clone().inject(fault));
+        }
+        tokio::time::sleep(Duration::from_micros(self.plan.length).saturating_sub(began.elapsed())).await;
+        while faults.join_next().await.is_some() {}
+        tasks.abort_all();
+        while tasks.join_next().await.is_some() {}
+        tokio::time::sleep(Duration::from_millis(self.plan.give_up_ms) + END_SLACK).await;
+        self.kill_all().await;
+        self.report(options)
+    }
+
+    async fn kill_all(&self) {
+        for front_end in &self.front_ends {
+            self.kill(front_end).await;
+        }
+    }
+
     async fn set_up(options: &SoakOptions, plan: Plan, folder: &Folder) -> Result<Play, SoakError> {
         let recorder = Arc::new(Recorder::start());
         let common = Arc::new(worker::Common {
--- a/scale/tests/soak_plan.rs
+++ b/scale/tests/soak.rs
@@ -2,6 +2,10 @@
 use heronslip_scale::soak::plan::{Fault, Plan};
 use heronslip_scale::soak::SoakConfig;
 use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+
+const PATIENCE: Duration = Duration::from_secs(20);
 
 fn shipped(name: &str) -> PathBuf {
     Path::new(env!("CARGO_MANIFEST_DIR")).join(name)
@@ -55,3 +59,37 @@
         assert!(SoakConfig::read(&path).is_err(), "{other}");
     }
 }
+
+/// SIGINT ends a soak with the shells' code for it, and the front ends of its play have ended by then.
+#[test]
+fn an_interrupted_soak_leaves_nothing_behind() {
+    let folder =
+        PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("interrupted-{}", std::process::id()));
+    std::fs::create_dir_all(folder.join("deploy")).expect("a folder");
+    let deploy = folder.join("deploy/balancer.toml");
+    std::fs::write(&deploy, "run = \"echo $$ > $NODE_NAME.started; exec sleep 600\"\n").expect("written");
+    let mut soak = Command::new(env!("CARGO_BIN_EXE_heronslip-scale"))
+        .args(["soak", "--seeds", "1..1", "--deploy"])
+        .arg(&deploy)
+        .arg("--shim")
+        .arg(&deploy) // any file: what stands for the front end loads no library
+        .arg(shipped("soak.toml"))
+        .stdout(Stdio::null())
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("it runs");
+    let started = folder.join("n0.started");
+    let until = Instant::now() + PATIENCE;
+    let process = loop {
+        let told = std::fs::read_to_string(&started).unwrap_or_default();
+        if let Ok(process) = told.trim().parse::<u32>() {
+            break process;
+        }
+        assert!(Instant::now() < until, "no front end was started");
+        std::thread::sleep(Duration::from_millis(10));
+    };
+    let tool = soak.id().to_string();
+    assert!(Command::new("kill").args(["-INT", &tool]).status().expect("kill runs").success());
+    assert_eq!(soak.wait().expect("waited for").code(), Some(130));
+    assert!(!Path::new(&format!("/proc/{process}")).exists(), "a front end is left");
+}
