--- a/scale/src/soak/mod.rs
+++ b/scale/src/soak/mod.rs
@@ -2,7 +2,7 @@
 //! that judges the record by the published rules.
 //!
 //! A play draws its faults from its seed ([`plan`]), runs built front ends before stand-in workers, a board and clients
-//! ([`run`]), and writes down every event with its time on the monotonic clock ([`record`]). The checker ([`checker`])
+//! (`run`), and writes down every event with its time on the monotonic clock ([`record`]). The checker ([`checker`])
 //! reads the record alone; it never sees the program, its log or its types.
 mod board;
 pub mod checker;
