--- a/heronslip/tests/common/mod.rs
+++ b/heronslip/tests/common/mod.rs
@@ -23,6 +23,7 @@
 //!     wait MS
 #![allow(dead_code)]
 pub mod board_hand;
+pub mod stand_ins;
 
 use base64::{engine::general_purpose::STANDARD, Engine};
 use heronslip_policy::json::{list, object, parse, part, text};
@@ -761,29 +762,6 @@
     fastcgi(stream_id, &params, body.as_bytes())
 }
 
-/// A worker that serves every call with its own body, and answers orders as if all stood loaded.
-pub fn obliging_worker() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("bound");
-    let serve = |mut stream: TcpStream| {
-        while let Ok(command) = Received::read(&mut stream) {
-            let (code, fields, body) = match command.code {
-                2 => (200, "detail=resident", &command.body[..]),
-                4 | 5 => (206, "", &[][..]),
-                6 => (200, "slots_up=1", &[][..]),
-                _ => continue,
-            };
-            if stream.write_all(&frame(code, command.id, fields, body)).is_err() {
-                return;
-            }
-        }
-    };
-    std::thread::spawn(move || {
-        listener.incoming().map_while(Result::ok).for_each(|s| drop(std::thread::spawn(move || serve(s))))
-    });
-    address
-}
-
 fn frames(mut stream: TcpStream, hall: usize, seen: &Sender<Call>) {
     let hush = Arc::new(AtomicBool::new(false));
     while let Ok(command) = Received::read(&mut stream) {
--- a/heronslip/tests/descriptors.rs
+++ b/heronslip/tests/descriptors.rs
@@ -1,7 +1,8 @@
 //! The platform's limit on descriptors, held to by the kernel too: what clients, workers and board may take.
 mod common;
 
-use common::{connect, fastcgi, fastcgi_answer, instance, obliging_worker, Plan, Stage, PATIENCE};
+use common::stand_ins::obliging_worker;
+use common::{connect, fastcgi, fastcgi_answer, instance, Plan, Stage, PATIENCE};
 use std::io::Write;
 use std::net::TcpStream;
 use std::time::{Duration, Instant};
--- a/heronslip/tests/discovery.rs
+++ b/heronslip/tests/discovery.rs
@@ -2,10 +2,10 @@
 mod common;
 
 use common::board_hand::{board, called, HEAD};
+use common::stand_ins::hanging_listener;
 use common::{instance, tell, Hand, Plan, Stage, SETTINGS};
 use rstest::rstest;
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::time::Duration;
 
 /// A board that takes the call and then comes to nothing is called anew; bytes alone are no word.
@@ -56,16 +56,8 @@
 /// A connect that hangs, under settings that would wait a minute for a worker, and a move while it does.
 #[test]
 fn a_board_that_moves_while_a_connect_hangs_is_followed() {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("bound");
-    socket.listen(0).expect("listens");
-    let listener = TcpListener::from(socket);
+    let (listener, _fillers) = hanging_listener();
     let at = listener.local_addr().expect("bound");
-    // Fills the queue of connections: the next one gets no answer.
-    let mut fillers = Vec::new();
-    while let Ok(stream) = TcpStream::connect_timeout(&at, Duration::from_millis(200)) {
-        fillers.push(stream);
-    }
     let settings = SETTINGS.replace(r#""connect-timeout":250"#, r#""connect-timeout":60000"#);
     let stage = Stage::with(Plan { settings, board: Some(at), ..Plan::default() });
     stage.reload(false);
--- a/heronslip/tests/leaving.rs
+++ b/heronslip/tests/leaving.rs
@@ -1,29 +1,22 @@
 //! Clients that leave while what they asked for waits somewhere: nothing of it begins any more.
 mod common;
 
+use common::stand_ins::hanging_listener;
 use common::{call, connect, fastcgi_answer, frame, Hand, Plan, Received, Stage, PATIENCE};
 use heronslip::limits::Limits;
 use heronslip::messages::{AttemptKey, Payload, Request};
 use heronslip::worker::{frames::Frames, Reports, Transport};
 use std::collections::BTreeSet;
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{TcpListener, TcpStream};
 use std::sync::{mpsc, Arc};
 use std::time::{Duration, Instant};
 
 /// A call waits for its connection, is given up, and only then the connection comes up: nothing is written on it.
 #[test]
 fn a_call_given_up_while_its_connection_comes_up_is_not_written() {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("bound");
-    socket.listen(0).expect("listens");
-    let listener = TcpListener::from(socket);
+    let (listener, fillers) = hanging_listener();
     let address = listener.local_addr().expect("bound");
-    // Fills the queue of connections: the next one gets no answer until some are taken.
-    let mut fillers = Vec::new();
-    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) {
-        fillers.push(stream);
-    }
     let mut limits = Limits::new(192, 1024, &heronslip_policy::Settings::default());
     limits.connect = Duration::from_secs(60);
     heronslip::net::schedule(&limits);
--- a/heronslip/tests/system_calls.rs
+++ b/heronslip/tests/system_calls.rs
@@ -1,14 +1,13 @@
 //! System calls that fail for a moment, in the ways that Linux documents.
 mod common;
 
-use common::{call, connect, fastcgi_answer, frame, obliging_worker, Plan, Received, Stage, PATIENCE};
+use common::stand_ins::{counting_worker, obliging_worker};
+use common::{call, connect, fastcgi_answer, Plan, Stage, PATIENCE};
 use heronslip_shim_control::{Call, ControlFile, Rates, CALLS, CONTROL_VARIABLE};
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener};
 use std::path::PathBuf;
 use std::process::Command;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
 /// The shim, built into a folder of the tests.
@@ -39,34 +38,6 @@
     (vec![("LD_PRELOAD", shim()), (CONTROL_VARIABLE, path)], control)
 }
 
-/// A worker that serves every call, and how many it got.
-fn counting_worker() -> (SocketAddr, Arc<AtomicUsize>) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("bound");
-    let calls = Arc::<AtomicUsize>::default();
-    let counted = calls.clone();
-    std::thread::spawn(move || {
-        for mut stream in listener.incoming().map_while(Result::ok) {
-            let counted = counted.clone();
-            std::thread::spawn(move || {
-                while let Ok(command) = Received::read(&mut stream) {
-                    counted.fetch_add(usize::from(command.code == 2), Ordering::AcqRel);
-                    let answer = match command.code {
-                        2 => frame(200, command.id, "detail=resident", &command.body),
-                        4 | 5 => frame(206, command.id, "", &[]),
-                        6 => frame(200, command.id, "slots_up=1", &[]),
-                        _ => continue,
-                    };
-                    if stream.write_all(&answer).is_err() {
-                        return;
-                    }
-                }
-            });
-        }
-    });
-    (address, calls)
-}
-
 /// An interrupted read is no end: an answer of which a part has come is read on, and its call is not sent again.
 #[test]
 fn an_interrupted_read_loses_no_answer() {
--- a/heronslip/tests/transport.rs
+++ b/heronslip/tests/transport.rs
@@ -1,4 +1,7 @@
 //! The transport of frames against sockets: what it writes, and when it lets connections go.
+mod common;
+
+use common::stand_ins::hanging_listener;
 use heronslip::limits::Limits;
 use heronslip::messages::{AttemptKey, Message, Payload, Request};
 use heronslip::worker::frames::{encode, Begin, Frames, Outgoing, Withheld};
@@ -19,16 +22,8 @@
 /// Guards rule 3: what still waits for a connection when its worker drains is never written.
 #[test]
 fn an_order_that_waits_for_a_connection_is_not_written_after_a_drain() {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("bound");
-    socket.listen(0).expect("listens");
-    let listener = TcpListener::from(socket);
+    let (listener, fillers) = hanging_listener();
     let address = listener.local_addr().expect("bound");
-    // Fills the queue of connections: the next one gets no answer until some are taken.
-    let mut fillers = Vec::new();
-    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) {
-        fillers.push(stream);
-    }
     let mut limits = Limits::new(192, 1024, &Settings::default());
     limits.connect = Duration::from_secs(20);
     let (queue, reports) = mpsc::channel();
@@ -51,16 +46,8 @@
 /// What a worker is told of the time left counts from when it is told: the connection may come up late.
 #[test]
 fn the_budget_of_a_call_counts_the_wait_for_its_connection() {
-    let socket = socket2::Socket::new(socket2::Domain::IPV4, socket2::Type::STREAM, None).expect("a socket");
-    socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().expect("an address").into()).expect("bound");
-    socket.listen(0).expect("listens");
-    let listener = TcpListener::from(socket);
+    let (listener, fillers) = hanging_listener();
     let address = listener.local_addr().expect("bound");
-    // Fills the queue of connections: the next one gets no answer until some are taken.
-    let mut fillers = Vec::new();
-    while let Ok(stream) = TcpStream::connect_timeout(&address, Duration::from_millis(200)) {
-        fillers.push(stream);
-    }
     let mut limits = Limits::new(192, 1024, &Settings::default());
     limits.connect = Duration::from_secs(20);
     let (queue, _reports) = mpsc::channel();
--- a/heronslip/tests/wall_clock.rs
+++ b/heronslip/tests/wall_clock.rs
@@ -2,45 +2,14 @@
 mod common;
 
 use common::board_hand::{board, called, HEAD};
-use common::{call, connect, fastcgi_answer, frame, instance, tell, Plan, Received, Stage, SETTINGS};
+use common::stand_ins::counting_worker;
+use common::{call, connect, fastcgi_answer, instance, tell, Plan, Stage, SETTINGS};
 use std::io::Write;
-use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 const HOUR_MS: i64 = 3_600_000;
 
-/// A worker that serves every call at once, and how many there were.
-fn counting_worker() -> (SocketAddr, Arc<AtomicUsize>) {
-    let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
-    let address = listener.local_addr().expect("bound");
-    let calls = Arc::<AtomicUsize>::default();
-    let counted = calls.clone();
-    std::thread::spawn(move || {
-        for stream in listener.incoming().map_while(Result::ok) {
-            let counted = counted.clone();
-            std::thread::spawn(move || serve(stream, &counted));
-        }
-    });
-    (address, calls)
-}
-
-fn serve(mut stream: TcpStream, calls: &AtomicUsize) {
-    while let Ok(command) = Received::read(&mut stream) {
-        let (code, fields, body) = match command.code {
-            2 => (200, "detail=resident", &command.body[..]),
-            4 | 5 => (206, "", &[][..]),
-            6 => (200, "slots_up=1", &[][..]),
-            _ => continue,
-        };
-        calls.fetch_add(usize::from(command.code == 2), Ordering::AcqRel);
-        if stream.write_all(&frame(code, command.id, fields, body)).is_err() {
-            return;
-        }
-    }
-}
-
 /// Two workers, one of which is told to have started just now by a clock that is `ahead_ms` ahead of ours. The calls
 /// that each of them gets of 200 that come `after` the news.
 fn calls_after_a_start(ahead_ms: i64, settings: &str, after: Duration) -> [usize; 2] {
