--- a/review/stand_ins.rs
+++ b/review/stand_ins.rs
@@ -103,12 +103,14 @@
     fn start(
         case: &Case, deployment: &Deployment, board: SocketAddr, hosts: &[Arc<Host>],
     ) -> Result<FrontEnd, String> {
-        let deploy = std::fs::read_to_string(case.root.join("deploy/balancer.toml")).map_err(|e| e.to_string())?;
+        let deploy =
+            std::fs::read_to_string(case.root.join("deploy/balancer.toml")).map_err(|e| e.to_string())?;
         let run = deploy
             .lines()
             .find_map(|line| line.strip_prefix("run = \"")?.split('"').next().map(str::to_owned))
             .ok_or("the deploy file has no 'run'")?;
-        let free = TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).map_err(|e| e.to_string())?;
+        let free =
+            TcpListener::bind("127.0.0.1:0").and_then(|l| l.local_addr()).map_err(|e| e.to_string())?;
         let instances: Vec<String> = hosts
             .iter()
             .map(|host| {
@@ -156,9 +158,7 @@
                 Ok(())
             })
         };
-        let child = command
-            .spawn()
-            .map_err(|e| format!("cannot start the front end: {e}"))?;
+        let child = command.spawn().map_err(|e| format!("cannot start the front end: {e}"))?;
         let front_end = FrontEnd { pid: child.id(), child: Mutex::new(child), address: free };
         let start = Instant::now();
         while start.elapsed() < MS(30_000) {
@@ -166,7 +166,9 @@
                 return Err("the front end has ended at its start".to_owned());
             }
             if health(free) {
-                case.record.line(format!("front end n0 is ready at {free}, memory_mb {memory_mb}, sockets {sockets}"));
+                case.record.line(format!(
+                    "front end n0 is ready at {free}, memory_mb {memory_mb}, sockets {sockets}"
+                ));
                 return Ok(front_end);
             }
             thread::sleep(MS(50));
@@ -376,7 +378,10 @@
             }
             let field_text = String::from_utf8_lossy(&content[..fields]).into_owned();
             let field = |name: &str| {
-                field_text.split(',').find_map(|f| f.split_once('=').filter(|f| f.0 == name)).map(|f| f.1.to_owned())
+                field_text
+                    .split(',')
+                    .find_map(|f| f.split_once('=').filter(|f| f.0 == name))
+                    .map(|f| f.1.to_owned())
             };
             match code {
                 2 => {
@@ -541,7 +546,8 @@
     }
 
     fn push(&self, request: u64, age: Duration, end: End) {
-        self.record.line(format!("client: request {request:016x} ended after {} ms: {end:?}", age.as_millis()));
+        self.record
+            .line(format!("client: request {request:016x} ended after {} ms: {end:?}", age.as_millis()));
         self.all.lock().unwrap().push((request, end));
     }
 
@@ -576,8 +582,13 @@
         stream.set_nodelay(true)?;
         let open: Arc<Mutex<BTreeMap<u16, Sent>>> = Arc::default();
         let closed = Arc::new(AtomicBool::new(false));
-        let client =
-            Client { stream: stream.try_clone()?, open: open.clone(), ends: ends.clone(), closed: closed.clone(), next: 0 };
+        let client = Client {
+            stream: stream.try_clone()?,
+            open: open.clone(),
+            ends: ends.clone(),
+            closed: closed.clone(),
+            next: 0,
+        };
         let ends = ends.clone();
         thread::spawn(move || {
             let _ = Client::read(stream, &open, &ends);
@@ -591,15 +602,14 @@
         Ok(client)
     }
 
-    fn read(
-        stream: TcpStream, open: &Mutex<BTreeMap<u16, Sent>>, ends: &Ends,
-    ) -> io::Result<()> {
+    fn read(stream: TcpStream, open: &Mutex<BTreeMap<u16, Sent>>, ends: &Ends) -> io::Result<()> {
         let mut reader = BufReader::new(stream);
         loop {
             let mut head = [0; 8];
             reader.read_exact(&mut head)?;
             let id = u16::from_be_bytes([head[2], head[3]]);
-            let mut content = vec![0; usize::from(u16::from_be_bytes([head[4], head[5]])) + usize::from(head[6])];
+            let mut content =
+                vec![0; usize::from(u16::from_be_bytes([head[4], head[5]])) + usize::from(head[6])];
             reader.read_exact(&mut content)?;
             content.truncate(content.len() - usize::from(head[6]));
             let mut open = open.lock().unwrap();
@@ -627,7 +637,8 @@
         match (status, text.split("\r\n").next().unwrap_or_default()) {
             (2, _) => End::Refused,
             (0, line) if line.starts_with("Status: 200") => {
-                let body = sent.answer.windows(4).position(|w| w == b"\r\n\r\n").map(|at| &sent.answer[at + 4..]);
+                let body =
+                    sent.answer.windows(4).position(|w| w == b"\r\n\r\n").map(|at| &sent.answer[at + 4..]);
                 if body == Some(&sent.body[..]) {
                     End::Served
                 } else {
@@ -645,8 +656,10 @@
     ) -> io::Result<u64> {
         self.next = self.next % 4000 + 1;
         let (id, request) = (self.next, new_id());
-        let (path, wire_id, key) = (format!("/v1/{class}"), format!("{request:016x}"), format!("{function:016x}"));
-        let (wait_ms, more) = (wait.as_millis().to_string(), format!("memory_mb:200;lanes:{lanes};load_ms:100"));
+        let (path, wire_id, key) =
+            (format!("/v1/{class}"), format!("{request:016x}"), format!("{function:016x}"));
+        let (wait_ms, more) =
+            (wait.as_millis().to_string(), format!("memory_mb:200;lanes:{lanes};load_ms:100"));
         let mut params = vec![
             ("SCRIPT_NAME", path.as_str()),
             ("HTTP_REQ_ID", &wire_id),
@@ -662,7 +675,9 @@
         self.stream.write_all(&records)?;
         open.insert(id, Sent { at: Instant::now(), ..sent });
         drop(open);
-        self.ends.record.line(format!("client: request {request:016x} sent, class {class}, waits {wait_ms} ms"));
+        self.ends
+            .record
+            .line(format!("client: request {request:016x} sent, class {class}, waits {wait_ms} ms"));
         Ok(request)
     }
 
@@ -719,7 +734,8 @@
     let record = &case.record;
     let (shared, work) = (Arc::new(Shared::default()), Work { takes: MS(100), error: false });
     let names = ["host_a", "host_b", "host_c", "host_d", "host_e"];
-    let hosts: Vec<Arc<Host>> = names.iter().map(|name| Host::start(name, &shared, record, work, true)).collect();
+    let hosts: Vec<Arc<Host>> =
+        names.iter().map(|name| Host::start(name, &shared, record, work, true)).collect();
     let deployment = Deployment { memory_mb: 192, sockets: 1024, connect_timeout_ms: 1200, idle_ms: 2000 };
     let front_end = FrontEnd::start(case, &deployment, start_board(), &hosts)?;
     let ends = Ends::new(record);
@@ -803,7 +819,9 @@
             break;
         }
     }
-    record.say(format!("{judged} trials: {repeats} keys ran twice, {broken} of them by a repeat after the span"));
+    record.say(format!(
+        "{judged} trials: {repeats} keys ran twice, {broken} of them by a repeat after the span"
+    ));
     record.say(format!("all requests: {}", summary(&ends.all())));
     if judged < 2 {
         return Err("too few trials could start".to_owned());
@@ -834,7 +852,9 @@
         let mut turn_away = || -> io::Result<Option<u16>> {
             let mut head = [0; 8];
             match reader.read(&mut head[..1]) {
-                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => return Ok(None),
+                Err(e) if matches!(e.kind(), io::ErrorKind::WouldBlock | io::ErrorKind::TimedOut) => {
+                    return Ok(None)
+                }
                 Ok(1) => {}
                 Ok(_) => return Err(io::ErrorKind::UnexpectedEof.into()),
                 Err(e) => return Err(e),
@@ -876,8 +896,10 @@
     const BAD_CONNECTIONS: usize = 10;
     let record = &case.record;
     let (shared, work) = (Arc::new(Shared::default()), Work { takes: MS(120), error: false });
-    let hosts: Vec<Arc<Host>> =
-        ["host_a", "host_b", "host_c"].iter().map(|name| Host::start(name, &shared, record, work, true)).collect();
+    let hosts: Vec<Arc<Host>> = ["host_a", "host_b", "host_c"]
+        .iter()
+        .map(|name| Host::start(name, &shared, record, work, true))
+        .collect();
     let deployment = Deployment { memory_mb: 32, sockets: 256, connect_timeout_ms: 250, idle_ms: 30_000 };
     let front_end = FrontEnd::start(case, &deployment, start_board(), &hosts)?;
     let ends = Ends::new(record);
@@ -886,7 +908,9 @@
         let (address, record) = (front_end.address, record.clone());
         thread::spawn(move || {
             thread::sleep(MS(3000));
-            record.line(format!("bad clients: {BAD_CONNECTIONS} connections with 32 messages without end each"));
+            record.line(format!(
+                "bad clients: {BAD_CONNECTIONS} connections with 32 messages without end each"
+            ));
             let until = start + LENGTH - MS(2500);
             let clients: Vec<_> =
                 (0..BAD_CONNECTIONS).map(|_| thread::spawn(move || bad_client(address, until))).collect();
@@ -909,7 +933,10 @@
                     batch += 1;
                     for n in 0..16 {
                         let body = vec![b'a' + (batch % 26) as u8; 8192];
-                        if client.send("route-lookup", 100 + (number + n) % 4, None, MS(3000), body, 16).is_err() {
+                        if client
+                            .send("route-lookup", 100 + (number + n) % 4, None, MS(3000), body, 16)
+                            .is_err()
+                        {
                             break;
                         }
                         sent += 1;
@@ -948,11 +975,16 @@
         if is_lost {
             lost += 1;
             lost_and_ran += usize::from(ran.contains_key(request));
-            record.line(format!("request {request:016x} is lost: {end:?}, ran at a host: {}", ran.contains_key(request)));
+            record.line(format!(
+                "request {request:016x} is lost: {end:?}, ran at a host: {}",
+                ran.contains_key(request)
+            ));
         }
     }
     record.say(format!("usual clients sent {sent} requests: {}", summary(&ends)));
-    record.say(format!("lost: {lost}, of which a host had run {lost_and_ran}; front end ended by itself: {ended}"));
+    record.say(format!(
+        "lost: {lost}, of which a host had run {lost_and_ran}; front end ended by itself: {ended}"
+    ));
     let served = ends.iter().filter(|(_, end)| *end == End::Served).count();
     if served < 500 {
         return Err("too few requests were served for a judgement".to_owned());
@@ -1011,9 +1043,7 @@
 
 /// Three usual clients, each with a connection of its own, send 20 requests a second each. Returns how many
 /// were sent, once all of them have ended.
-fn usual_traffic(
-    case: &Case, address: SocketAddr, until: Instant, ends: &Arc<Ends>,
-) -> Result<u64, String> {
+fn usual_traffic(case: &Case, address: SocketAddr, until: Instant, ends: &Arc<Ends>) -> Result<u64, String> {
     let clients: Vec<_> = (0..3)
         .map(|number: u64| {
             let (ends, record) = (ends.clone(), case.record.clone());
@@ -1117,7 +1147,8 @@
     fn watch(record: &Record, front_end: &Arc<FrontEnd>, memory_mb: u32, until: Instant) -> Platform {
         let (over, highest) = (Arc::new(AtomicBool::new(false)), Arc::new(AtomicU64::new(0)));
         let thread = {
-            let (front_end, over, highest, record) = (front_end.clone(), over.clone(), highest.clone(), record.clone());
+            let (front_end, over, highest, record) =
+                (front_end.clone(), over.clone(), highest.clone(), record.clone());
             thread::spawn(move || {
                 let mut last = 0;
                 while Instant::now() < until && !over.load(Ordering::SeqCst) {
@@ -1131,7 +1162,9 @@
                         ));
                     }
                     if held > u64::from(memory_mb) * 1024 {
-                        record.say(format!("platform: {held} KiB is over {memory_mb} MB, the front end is killed"));
+                        record.say(format!(
+                            "platform: {held} KiB is over {memory_mb} MB, the front end is killed"
+                        ));
                         over.store(true, Ordering::SeqCst);
                         front_end.kill();
                     }
@@ -1148,7 +1181,9 @@
 fn memory_limit(case: &Case) -> Result<bool, String> {
     // Records of a kind that FastCGI does not know, as management records.
     let block = fcgi_record(77, 0, b"unknown.").repeat(4000);
-    memory_case(case, 192, 1024, |address, until| start_bad_clients(case, address, 6, until, Vec::new(), block.clone()))
+    memory_case(case, 192, 1024, |address, until| {
+        start_bad_clients(case, address, 6, until, Vec::new(), block.clone())
+    })
 }
 
 /// Not a case of its own, see REPORT.md: 380 bad clients each send one record that stops before its end, to a
