End a connection's reader once the connection is closing

Callers saw: all requests of a front end that was killed for memory.

Cause: Outbox::send closes a connection with too many unread answers by an entry at the end of its queue. The reader went on, and each further answer queued another such entry, which nothing counts.

Change: closing is a flag that is set once, with one entry in the queue; the readers of both client protocols end when it is set, and what is sent later is dropped, since nothing behind that entry was ever written.

Test: a_connection_that_closes_for_unread_responses_is_not_read_further, FastCGI and KServe v2. What remains is the memory of the answers, counted by their content alone.

--- a/heronslip/src/net.rs
+++ b/heronslip/src/net.rs
@@ -8,7 +8,7 @@
 use std::collections::BTreeMap;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -115,6 +115,8 @@
 pub struct Outbox {
     chunks: Sender<Chunk>,
     queued_bytes: Arc<AtomicUsize>,
+    /// Whether the connection closes once the queued bytes have been written.
+    closing: Arc<AtomicBool>,
     unsent_bytes: Arc<AtomicUsize>,
     memory_budget: MemoryBudget,
     max_queued: usize,
@@ -132,7 +134,8 @@
         let (chunks, queue) = channel();
         let outbox = Outbox {
             chunks,
-            queued_bytes: Arc::new(AtomicUsize::new(0)),
+            queued_bytes: Arc::default(),
+            closing: Arc::default(),
             unsent_bytes: unsent_bytes.clone(),
             memory_budget: memory_budget.clone(),
             max_queued: limits.max_unsent_per_connection,
@@ -150,8 +153,12 @@
 
     /// Queues bytes. Closes the connection of a client that does not read its responses, so that it does not
     /// use up other clients' memory. A client with little unread data gets its response even if the memory
-    /// budget is exhausted: requests alone may exhaust it, and the response is in memory already.
+    /// budget is exhausted: requests alone may exhaust it, and the response is in memory already. On a closing
+    /// connection the bytes are dropped.
     pub fn send(&self, bytes: Vec<u8>) {
+        if self.is_closing() {
+            return;
+        }
         let len = bytes.len();
         let queued = self.queued_bytes.load(Ordering::Relaxed);
         let reservation = self.memory_budget.reserve(len);
@@ -169,7 +176,16 @@
 
     /// Closes the connection once the queued bytes have been written.
     pub fn close(&self) {
-        let _ = self.chunks.send(Chunk::Close); // fails if the writer has ended, which closes the connection
+        let was_closing = self.closing.swap(true, Ordering::AcqRel);
+        if !was_closing {
+            let _ = self.chunks.send(Chunk::Close); // fails if the writer has ended, which closes the connection
+        }
+    }
+
+    /// Whether the connection is closing, so that nothing sent from now on reaches the client. Its reader
+    /// must end then: the rest of the client's input gets no response.
+    pub fn is_closing(&self) -> bool {
+        self.closing.load(Ordering::Acquire)
     }
 }
 
--- a/heronslip/src/server/fastcgi.rs
+++ b/heronslip/src/server/fastcgi.rs
@@ -250,6 +250,9 @@
                 }
                 self.handle_record(kind, u16::from_be_bytes([i0, i1]), &record[HEADER..HEADER + content])?;
                 record.clear();
+                if self.connection.outbox.is_closing() {
+                    return Ok(());
+                }
             }
             let activity = &self.connection.activity;
             activity.set_reading_request(!self.partial.is_empty() || !record.is_empty());
--- a/heronslip/src/server/kserve.rs
+++ b/heronslip/src/server/kserve.rs
@@ -221,6 +221,9 @@
                     if head.close {
                         return self.discard_until_closed(&mut ring, &mut stream);
                     }
+                    if self.connection.outbox.is_closing() {
+                        return Ok(());
+                    }
                 }
             }
         }
--- a/heronslip/tests/clients.rs
+++ b/heronslip/tests/clients.rs
@@ -2,15 +2,18 @@
 mod common;
 
 use common::{
-    connect, fastcgi_call, fastcgi_request, read_fastcgi_response, start_fastcgi_server, test_context,
-    TIMEOUT,
+    connect, fastcgi_call, fastcgi_record, fastcgi_request, read_fastcgi_response, start_fastcgi_server,
+    start_server, test_context, TIMEOUT,
 };
 use heronslip::messages::{Client, Message, Payload, Response};
+use heronslip::net::{ConnectionPermit, Socket};
+use heronslip::server::{fastcgi, kserve, ServerContext};
+use rstest::rstest;
 use std::io::{Read, Write};
-use std::sync::atomic::Ordering;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::Receiver;
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// FastCGI protocol status of a request that is rejected for lack of capacity.
 const OVERLOADED: u8 = 2;
@@ -131,3 +134,32 @@
         assert!(head.starts_with("Status: 200") && body.len() == 2_000, "{head}");
     }
 }
+
+/// Guards against memory that grows without bound: a client whose connection is to close for its unread
+/// responses goes on sending, and each further message leaves an entry in the queue of responses.
+#[rstest]
+#[case::fastcgi(fastcgi::serve, fastcgi_record(77, 0, b"unknown.").repeat(1_000))]
+#[case::kserve(kserve::serve, b"GET /v2 HTTP/1.1\r\n\r\n".repeat(1_000))]
+fn a_connection_that_closes_for_unread_responses_is_not_read_further(
+    #[case] serve: fn(Socket, &ServerContext, ConnectionPermit), #[case] messages: Vec<u8>,
+) {
+    let (context, queue) = test_context(|limits| {
+        limits.max_unsent_per_connection = 64 * 1024;
+        limits.write_stall_timeout = Duration::from_secs(3_600); // the writer waits all the time
+    });
+    let mut client = connect(start_server(&context, serve));
+    client.set_write_timeout(Some(Duration::from_millis(20))).expect("set");
+    let done = Arc::new(AtomicBool::new(false));
+    let sender_done = done.clone();
+    let sender = std::thread::spawn(move || {
+        let mut sent = 0;
+        while !sender_done.load(Ordering::Acquire) {
+            sent += client.write(&messages[sent..]).unwrap_or(0); // times out while the server does not read
+            sent %= messages.len();
+        }
+    });
+    let message = queue.recv_timeout(TIMEOUT);
+    done.store(true, Ordering::Release);
+    sender.join().expect("no panic");
+    assert!(matches!(message, Ok(Message::ClientDisconnected { .. })), "the server reads on");
+}
--- a/heronslip/tests/common/mod.rs
+++ b/heronslip/tests/common/mod.rs
@@ -42,7 +42,7 @@
 
 use heronslip::limits::{Limits, MemoryBudget};
 use heronslip::messages::Message;
-use heronslip::net::ConnectionLimiter;
+use heronslip::net::{ConnectionLimiter, ConnectionPermit, Socket};
 use heronslip::server::{accept_connections, Acceptor, ServerContext};
 use std::time::{Duration, Instant};
 
@@ -774,9 +774,16 @@
 
 /// Starts a FastCGI server with this context, and returns its address.
 pub fn start_fastcgi_server(context: &ServerContext) -> SocketAddr {
+    start_server(context, heronslip::server::fastcgi::serve)
+}
+
+/// Starts a server with this context, and returns its address.
+pub fn start_server(
+    context: &ServerContext, serve: fn(Socket, &ServerContext, ConnectionPermit),
+) -> SocketAddr {
     let acceptor = Acceptor::new(may::net::TcpListener::bind("127.0.0.1:0").expect("a port"));
     let (address, context) = (acceptor.listener.local_addr().expect("bound"), context.clone());
-    let run = move || accept_connections(&acceptor, &context, "test", heronslip::server::fastcgi::serve);
+    let run = move || accept_connections(&acceptor, &context, "test", serve);
     heronslip::net::spawn(64 * 1024, run).expect("a coroutine");
     address
 }
