Count the memory of a queued response, not its content alone

Cause: the memory budget and the limit a connection counted a response's bytes.

Change: a queued response is charged with 96 bytes on top of its content.

--- a/heronslip/src/limits.rs
+++ b/heronslip/src/limits.rs
@@ -23,9 +23,9 @@
     pub client_connections: usize,
     /// Maximum connections to workers.
     pub worker_connections: usize,
-    /// Maximum bytes of request bodies and unsent responses over all requests.
+    /// Maximum memory of request bodies and unsent responses over all requests, in bytes.
     pub buffered_bytes: usize,
-    /// Maximum bytes of unsent responses on one client connection.
+    /// Maximum memory of unsent responses on one client connection, in bytes.
     pub max_unsent_per_connection: usize,
     /// Capacity of a client connection's ring buffers, in bytes.
     pub client_buffer: usize,
--- a/heronslip/src/net.rs
+++ b/heronslip/src/net.rs
@@ -19,6 +19,10 @@
 /// When the limit on client connections is reached, this fraction (1/16) of the limit is closed at a time.
 const IDLE_CLOSE_DIVISOR: usize = 16;
 
+/// Memory that a queued response takes besides its content, in bytes: its entry in the queue and what the
+/// allocator adds to small blocks.
+const QUEUE_ENTRY_OVERHEAD: usize = 96;
+
 static NEXT_CONNECTION_ID: AtomicU64 = AtomicU64::new(1);
 
 /// Returns an id that no other connection of the process has.
@@ -114,13 +118,14 @@
 #[derive(Clone)]
 pub struct Outbox {
     chunks: Sender<Chunk>,
-    queued_bytes: Arc<AtomicUsize>,
+    /// Memory of the queued responses, in bytes.
+    queued_memory: Arc<AtomicUsize>,
     /// Whether the connection closes once the queued bytes have been written.
     closing: Arc<AtomicBool>,
     unsent_bytes: Arc<AtomicUsize>,
     memory_budget: MemoryBudget,
     max_queued: usize,
-    /// Bytes that may be queued even if the memory budget is exhausted.
+    /// Memory in bytes that queued responses may take even if the memory budget is exhausted.
     unreserved_queued: usize,
 }
 
@@ -134,7 +139,7 @@
         let (chunks, queue) = channel();
         let outbox = Outbox {
             chunks,
-            queued_bytes: Arc::default(),
+            queued_memory: Arc::default(),
             closing: Arc::default(),
             unsent_bytes: unsent_bytes.clone(),
             memory_budget: memory_budget.clone(),
@@ -142,10 +147,10 @@
             unreserved_queued: limits.client_buffer,
         };
         let stack = limits.coroutine_stack;
-        let (limits, queued_bytes, unsent_bytes) =
-            (limits.clone(), outbox.queued_bytes.clone(), unsent_bytes.clone());
+        let (limits, queued_memory, unsent_bytes) =
+            (limits.clone(), outbox.queued_memory.clone(), unsent_bytes.clone());
         spawn(stack, move || {
-            write_chunks(stream, &queue, &limits, &queued_bytes, &unsent_bytes);
+            write_chunks(stream, &queue, &limits, &queued_memory, &unsent_bytes);
             drop(permit);
         })?;
         Ok(outbox)
@@ -160,14 +165,16 @@
             return;
         }
         let len = bytes.len();
-        let queued = self.queued_bytes.load(Ordering::Relaxed);
-        let reservation = self.memory_budget.reserve(len);
-        if reservation.is_none() && queued > self.unreserved_queued || queued + len > self.max_queued.max(len)
-        {
-            log_limited!("client: connection closed: {queued} bytes of responses are unread");
+        let memory = memory_of_response(len);
+        let queued = self.queued_memory.load(Ordering::Relaxed);
+        let reservation = self.memory_budget.reserve(memory);
+        let exceeds_budget = reservation.is_none() && queued > self.unreserved_queued;
+        let exceeds_queue = queued > 0 && queued + memory > self.max_queued;
+        if exceeds_budget || exceeds_queue {
+            log_limited!("client: connection closed: {queued} bytes of memory hold unread responses");
             return self.close();
         }
-        self.queued_bytes.fetch_add(len, Ordering::Relaxed);
+        self.queued_memory.fetch_add(memory, Ordering::Relaxed);
         self.unsent_bytes.fetch_add(len, Ordering::AcqRel);
         if self.chunks.send(Chunk::Bytes(bytes, reservation)).is_err() {
             self.unsent_bytes.fetch_sub(len, Ordering::AcqRel);
@@ -189,8 +196,13 @@
     }
 }
 
+/// Memory in bytes that a queued response of this many bytes takes.
+fn memory_of_response(len: usize) -> usize {
+    len + QUEUE_ENTRY_OVERHEAD
+}
+
 fn write_chunks(
-    stream: Socket, queue: &Receiver<Chunk>, limits: &Limits, queued_bytes: &AtomicUsize,
+    stream: Socket, queue: &Receiver<Chunk>, limits: &Limits, queued_memory: &AtomicUsize,
     unsent_bytes: &AtomicUsize,
 ) {
     let mut ring = RingBuffer::new(limits.client_buffer);
@@ -209,7 +221,7 @@
                 }
             }
         }
-        queued_bytes.fetch_sub(len, Ordering::Relaxed);
+        queued_memory.fetch_sub(memory_of_response(len), Ordering::Relaxed);
         unsent_bytes.fetch_sub(len, Ordering::AcqRel);
     }
     stream.close(); // the reader sees the end of the stream; chunks that are still queued are not written
--- a/heronslip/tests/common/mod.rs
+++ b/heronslip/tests/common/mod.rs
@@ -134,6 +134,8 @@
     pub workers: Vec<SocketAddr>,
     /// The number of descriptors, both as configured and as limited by `ulimit`.
     pub sockets: u64,
+    /// The configured limit on memory, in MB.
+    pub memory_mb: u64,
     pub settings: String,
     /// The configured events, in place of one that lists the workers.
     pub known: Option<String>,
@@ -154,6 +156,7 @@
             protocol,
             workers,
             sockets,
+            memory_mb: 192,
             settings,
             known,
             close_log,
@@ -219,10 +222,10 @@
             directory.join(name)
         };
         let full_list = format!(r#"{{"rev":1,"pool":{{"reset":true,"instances":[{instances}]}}}}"#);
-        let (settings, sockets) = (&config.settings, config.sockets);
+        let (settings, sockets, memory_mb) = (&config.settings, config.sockets, config.memory_mb);
         let known = config.known.unwrap_or(full_list);
         let config_template = format!(
-            r#"{{"name":"t","seed":"2a","limits":{{"memory_mb":192,"sockets":{sockets}}},"settings":{settings},
+            r#"{{"name":"t","seed":"2a","limits":{{"memory_mb":{memory_mb},"sockets":{sockets}}},"settings":{settings},
                 "board":"BOARD","known":{{"rev":1,"notices":[{known}]}}}}"#
         );
         let mut discovery_servers = [start_discovery_server(), start_discovery_server()];
@@ -297,6 +300,13 @@
         std::fs::read_dir(format!("/proc/{}/fd", self.child.id())).expect("the program runs").count()
     }
 
+    /// Memory that the program holds besides its program file, in KiB.
+    pub fn memory_kib(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).expect("it runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("RssAnon:")).expect("a figure");
+        line.trim().trim_end_matches(" kB").parse().expect("a number")
+    }
+
     fn configured_discovery_server(&self) -> &DiscoveryServer {
         &self.discovery_servers[self.current_discovery_server.get()]
     }
