Let a coroutine that never waits pause as long as it has run

Cause: may looks for ready sockets only when no coroutine is ready to run. A reader that always finds bytes never waits, and the yield_now after 8 reads made it ready again at once, so no other socket was read.

Change: coop::Budget. It holds for client and worker readers, the writers of clients, the accept loop and the discovery stream alike.

--- a/heronslip/src/discovery/client.rs
+++ b/heronslip/src/discovery/client.rs
@@ -5,10 +5,11 @@
 use super::list_event::{EventBounds, EventError, EventReader};
 use super::table::{StagedEvent, WorkerTable};
 use super::ListEvent;
+use crate::coop::{pause, Group};
 use crate::http::{ChunkedDecoder, ChunkedItem, Head};
 use crate::limits::Limits;
 use crate::messages::{ListedWorker, Message, WorkerProtocol};
-use crate::net::is_timeout;
+use crate::net::{is_timeout, Socket};
 use crate::ring::RingBuffer;
 use heronslip_policy::DiscoveryState;
 use may::net::TcpStream;
@@ -273,7 +274,7 @@
         if subscriber.last_event != last_event || service.get() != address {
             backoff.reset();
         }
-        may::coroutine::sleep(backoff.next_delay());
+        pause(backoff.next_delay());
     }
 }
 
@@ -291,6 +292,7 @@
         subscriber.last_event
     );
     stream.write_all(request.as_bytes())?;
+    let mut stream = Socket::new(stream, Group::Discovery);
     let mut response = ResponseReader::new(subscriber, limits);
     let mut last_progress = Instant::now();
     let mut progress_unreported = false;
--- a/heronslip/src/lib.rs
+++ b/heronslip/src/lib.rs
@@ -11,6 +11,7 @@
 #[macro_use]
 pub mod log;
 pub mod config;
+pub mod coop;
 pub mod core;
 pub mod discovery;
 pub mod http;
--- a/heronslip/src/net.rs
+++ b/heronslip/src/net.rs
@@ -1,5 +1,6 @@
 //! Parts that all connections share: coroutines, sockets, the writer of client connections and the limit on
 //! client connections.
+use crate::coop::{pause, Budget, Group};
 use crate::limits::{Limits, MemoryBudget, Reservation};
 use crate::ring::RingBuffer;
 use may::net::TcpStream;
@@ -9,6 +10,7 @@
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::mpsc::RecvError;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -59,38 +61,41 @@
 /// again after pauses. A second descriptor for the writer would halve the number of connections within the
 /// platform's limit.
 #[derive(Clone)]
-pub struct Socket(Arc<TcpStream>);
+pub struct Socket {
+    stream: Arc<TcpStream>,
+    read_budget: Budget,
+}
 
 impl Socket {
-    /// Wraps a connection.
-    pub fn new(stream: TcpStream) -> Self {
-        Socket(Arc::new(stream))
+    /// Wraps a connection whose coroutines belong to this group.
+    pub fn new(stream: TcpStream, group: Group) -> Self {
+        Socket { stream: Arc::new(stream), read_budget: Budget::new(group) }
     }
 
     /// Sets the time after which a read without data ends with an error; see [`is_timeout`].
     pub fn set_read_timeout(&self, timeout: Duration) -> io::Result<()> {
-        self.0.set_read_timeout(Some(timeout))
+        self.stream.set_read_timeout(Some(timeout))
     }
 
     /// The address of the other side.
     pub fn peer_addr(&self) -> io::Result<SocketAddr> {
-        self.0.peer_addr()
+        self.stream.peer_addr()
     }
 
     /// Closes both directions; the reader sees the end of the stream.
     pub fn close(&self) {
-        let _ = self.0.shutdown(Shutdown::Both); // fails if the other side has already closed the connection
+        let _ = self.stream.shutdown(Shutdown::Both); // fails if the other side has already closed the connection
     }
 
     /// Writes at least one byte. Fails, see [`is_timeout`], if the socket has no room within `timeout`.
     pub fn write_within(&self, bytes: &[u8], timeout: Duration) -> io::Result<usize> {
-        let (start, mut pause) = (Instant::now(), MIN_WRITE_PAUSE);
+        let (start, mut next_pause) = (Instant::now(), MIN_WRITE_PAUSE);
         loop {
-            match self.0.inner().write(bytes) {
+            match self.stream.inner().write(bytes) {
                 Err(e) if e.kind() == ErrorKind::Interrupted => {}
                 Err(e) if e.kind() == ErrorKind::WouldBlock && start.elapsed() < timeout => {
-                    may::coroutine::sleep(pause.min(timeout));
-                    pause = (2 * pause).min(MAX_WRITE_PAUSE);
+                    pause(next_pause.min(timeout));
+                    next_pause = (2 * next_pause).min(MAX_WRITE_PAUSE);
                 }
                 result => return result,
             }
@@ -101,10 +106,16 @@
 impl Read for Socket {
     fn read(&mut self, buffer: &mut [u8]) -> io::Result<usize> {
         loop {
-            match self.0.inner().read(buffer) {
-                Err(e) if e.kind() == ErrorKind::WouldBlock => self.0.peek(&mut [0])?, // waits for data
-                result => return result,
-            };
+            match self.stream.inner().read(buffer) {
+                Err(e) if e.kind() == ErrorKind::WouldBlock => {
+                    self.read_budget.record_wait();
+                    self.stream.peek(&mut [0])?; // waits for data
+                }
+                result => {
+                    self.read_budget.record_operation();
+                    return result;
+                }
+            }
         }
     }
 }
@@ -201,18 +212,30 @@
     len + QUEUE_ENTRY_OVERHEAD
 }
 
+/// The next chunk. Fails once all senders are dropped.
+fn next_chunk(queue: &Receiver<Chunk>, budget: &mut Budget) -> Result<Chunk, RecvError> {
+    queue.try_recv().or_else(|_| {
+        budget.record_wait();
+        queue.recv()
+    })
+}
+
 fn write_chunks(
     stream: Socket, queue: &Receiver<Chunk>, limits: &Limits, queued_memory: &AtomicUsize,
     unsent_bytes: &AtomicUsize,
 ) {
     let mut ring = RingBuffer::new(limits.client_buffer);
     let mut broken = false;
-    while let Ok(Chunk::Bytes(bytes, _reservation)) = queue.recv() {
+    let mut budget = Budget::new(Group::Clients);
+    while let Ok(Chunk::Bytes(bytes, _reservation)) = next_chunk(queue, &mut budget) {
         let (mut rest, len) = (&bytes[..], bytes.len());
         while !broken && (!rest.is_empty() || !ring.is_empty()) {
             rest = &rest[ring.push(rest)..];
             match stream.write_within(ring.front(), limits.write_stall_timeout) {
-                Ok(n) if n > 0 => ring.consume(n),
+                Ok(n) if n > 0 => {
+                    ring.consume(n);
+                    budget.record_operation();
+                }
                 result => {
                     let reason = result.err().map_or("closed".to_owned(), |e| e.to_string());
                     log_limited!("client: connection closed: writing a response failed: {reason}");
--- a/heronslip/src/server/fastcgi.rs
+++ b/heronslip/src/server/fastcgi.rs
@@ -32,8 +32,6 @@
 const HEADER: usize = 8;
 /// Maximum content of a STDOUT record in bytes, a multiple of 8 below 64 KiB.
 const MAX_STDOUT_CONTENT: usize = 0xfff8;
-/// Reads of one connection after which other coroutines get their turn.
-const READS_BEFORE_YIELD: u32 = 8;
 
 /// Encodes a record; `content` must be shorter than 64 KiB.
 pub fn encode_record(kind: u8, id: u16, content: &[u8], out: &mut Vec<u8>) {
@@ -223,7 +221,7 @@
         stream.set_read_timeout(limits.client_check_interval).map_err(|e| e.to_string())?;
         let mut ring = RingBuffer::new(limits.client_buffer);
         let mut record = Vec::new();
-        let (mut last_check, mut record_start, mut reads) = (Instant::now(), Instant::now(), 0u32);
+        let (mut last_check, mut record_start) = (Instant::now(), Instant::now());
         loop {
             match ring.read_from(&mut stream) {
                 Ok(0) => return Ok(()),
@@ -274,11 +272,6 @@
                     return Ok(());
                 }
             }
-            reads += 1;
-            if reads.is_multiple_of(READS_BEFORE_YIELD) {
-                // A client that sends at full speed would otherwise keep the scheduler's only thread.
-                may::coroutine::yield_now();
-            }
         }
     }
 
--- a/heronslip/src/server/mod.rs
+++ b/heronslip/src/server/mod.rs
@@ -2,6 +2,7 @@
 pub mod fastcgi;
 pub mod kserve;
 
+use crate::coop::{pause, Budget, Group};
 use crate::core::SharedState;
 use crate::limits::{Limits, MemoryBudget};
 use crate::messages::Message;
@@ -81,10 +82,14 @@
 
     /// Whether all connections have been accepted: none waits in the system, and the coroutine handles none.
     pub fn all_accepted(&self) -> bool {
+        !self.has_pending() && self.waiting.load(Ordering::Acquire)
+    }
+
+    /// Whether a connection waits in the system to be accepted.
+    fn has_pending(&self) -> bool {
         let mut listener = [PollFd::new(self.listener.inner().as_fd(), PollFlags::POLLIN)];
         // If the poll fails, no connection counts as waiting.
-        let pending = poll(&mut listener, PollTimeout::ZERO).is_ok_and(|ready| ready > 0);
-        !pending && self.waiting.load(Ordering::Acquire)
+        poll(&mut listener, PollTimeout::ZERO).is_ok_and(|ready| ready > 0)
     }
 }
 
@@ -93,7 +98,13 @@
     acceptor: &Acceptor, context: &ServerContext, server: &'static str,
     serve: fn(Socket, &ServerContext, ConnectionPermit),
 ) {
+    let mut budget = Budget::new(Group::Listeners);
     loop {
+        if acceptor.has_pending() {
+            budget.record_operation();
+        } else {
+            budget.record_wait();
+        }
         acceptor.waiting.store(true, Ordering::Release);
         let accepted = acceptor.listener.accept();
         acceptor.waiting.store(false, Ordering::Release);
@@ -108,7 +119,7 @@
                 };
                 let connection_context = context.clone();
                 let _ = stream.set_nodelay(true); // without it the connection is only slower
-                let serve = move || serve(Socket::new(stream), &connection_context, permit);
+                let serve = move || serve(Socket::new(stream, Group::Clients), &connection_context, permit);
                 if let Err(e) = spawn(context.limits.coroutine_stack, serve) {
                     log_limited!("{server} {peer}: connection closed: cannot start a coroutine: {e}");
                 }
@@ -123,11 +134,11 @@
             }
             Err(e) if is_exhausted(&e) => {
                 log_limited!("{server}: accept failed, retrying: {e}");
-                may::coroutine::sleep(EXHAUSTED_DELAY);
+                pause(EXHAUSTED_DELAY);
             }
             Err(e) => {
                 log_limited!("{server}: accept failed, retrying: {e}");
-                may::coroutine::sleep(ACCEPT_ERROR_DELAY);
+                pause(ACCEPT_ERROR_DELAY);
             }
         }
     }
@@ -147,7 +158,7 @@
         if permit.is_some() || !context.connection_limiter.close_idle() {
             break;
         }
-        may::coroutine::sleep(PERMIT_RETRY_DELAY);
+        pause(PERMIT_RETRY_DELAY);
         permit = context.connection_limiter.acquire();
     }
     permit
--- a/heronslip/src/worker/frames.rs
+++ b/heronslip/src/worker/frames.rs
@@ -1,6 +1,7 @@
 //! The platform's binary protocol: frames for attempts, load commands and cancels over shared connections to
 //! one worker.
 use super::{ConnectionUsage, ReportSender, Transport};
+use crate::coop::Group;
 use crate::limits::Limits;
 use crate::messages::{AttemptKey, AttemptReport, Payload, Request};
 use crate::net::{is_timeout, next_connection_id, spawn, Socket};
@@ -711,7 +712,7 @@
         let text = |e: std::io::Error| e.to_string();
         let stream = TcpStream::connect_timeout(&address, self.limits.connect_timeout).map_err(text)?;
         stream.set_nodelay(true).map_err(text)?;
-        let stream = Socket::new(stream);
+        let stream = Socket::new(stream, Group::Workers);
         let reader = stream.clone();
         let (state, reports, limits) = (self.state.clone(), self.reports.clone(), self.limits.clone());
         spawn(self.limits.coroutine_stack, move || {
--- a/heronslip/src/worker/kserve.rs
+++ b/heronslip/src/worker/kserve.rs
@@ -1,6 +1,7 @@
 //! KServe v2 over HTTP/1.1 to one worker. Each connection carries one exchange at a time. Load commands, copy
 //! queries and unloads use the model repository extension.
 use super::{ConnectionUsage, ReportSender, Transport};
+use crate::coop::{Budget, Group};
 use crate::http::{ChunkedDecoder, ChunkedItem, Head};
 use crate::limits::Limits;
 use crate::messages::{AttemptKey, AttemptReport, Payload, Request};
@@ -397,6 +398,7 @@
         let mut head: Option<Head> = None;
         let mut chunks = ChunkedDecoder::default();
         let mut last_read = Instant::now();
+        let mut budget = Budget::new(Group::Workers);
         loop {
             if let Some(head) = head.as_ref() {
                 let complete = match head.length {
@@ -433,7 +435,10 @@
             }
             match ring.read_from(stream) {
                 Ok(0) => return Err("the worker closed the connection".to_owned()),
-                Ok(_) => last_read = Instant::now(),
+                Ok(_) => {
+                    last_read = Instant::now();
+                    budget.record_operation();
+                }
                 Err(e) if is_timeout(&e) => {
                     // As with frames, a reply that has begun must go on without long pauses.
                     let begun = head.is_some() || !head_bytes.is_empty();
