Do not start a repeat once workers have forgotten its key

Callers saw: a keyed request ran twice for one call.

Cause: the span was checked when the attempt was decided and never again. Core::send_attempt passed only the end of the worker's lease as the time after which the transport must not begin; the KServe v2 transport ignored even that.

Change: Controller::attempt_start_deadline states the end of the span of the first attempt that may have run; the core passes on the earlier of it and the lease's end; both transports check it just before the first byte, by the same StartCondition.

--- a/heronslip/src/core/mod.rs
+++ b/heronslip/src/core/mod.rs
@@ -525,6 +525,14 @@
         self.controller.worker_lease_end(worker).map(|end| self.clock.instant(end))
     }
 
+    /// When the first byte of an attempt may no longer be sent: its worker's lease ends, or workers forget the
+    /// idempotency key of the attempt that it repeats.
+    fn start_deadline(&self, key: AttemptKey, worker: &str) -> Option<Instant> {
+        let window_end = self.controller.attempt_start_deadline(key.request, key.attempt);
+        let window_end = window_end.map(|end| self.clock.instant(end));
+        [self.lease_end(worker), window_end].into_iter().flatten().min()
+    }
+
     /// Whether an exchange with a worker can use an open connection or open a new one. At the limit on worker
     /// connections, which bounds the descriptors, some of the idle connections are closed, least recently
     /// used first. Commands and probes may use three quarters of the limit and leave the rest to calls: a new
@@ -561,10 +569,10 @@
         let still_needed = !open.answered && budget > 0;
         let has_connection = still_needed && self.reserve_connection(&worker, false);
         let is_ready = |w: &&mut Worker| w.listing.state == WorkerState::Ready;
-        let until = self.lease_end(&worker);
+        let start_deadline = self.start_deadline(key, &worker);
         match self.workers.get_for_send(&worker).filter(is_ready) {
             Some(worker) if has_connection => {
-                worker.transport.send_attempt(key, &request, budget, until);
+                worker.transport.send_attempt(key, &request, budget, start_deadline);
                 self.timers.schedule(now.saturating_add(budget), Timer::AttemptTimeout(key));
             }
             _ => {
--- a/heronslip/src/worker/frames.rs
+++ b/heronslip/src/worker/frames.rs
@@ -181,7 +181,8 @@
 }
 
 impl StartCondition {
-    fn has_expired(self, retired: bool, now: Instant) -> bool {
+    /// Whether the exchange may no longer start; `retired` tells whether the worker drains.
+    pub(super) fn has_expired(self, retired: bool, now: Instant) -> bool {
         match self {
             StartCondition::Always => false,
             StartCondition::WhileReady { deadline } => {
--- a/heronslip/src/worker/kserve.rs
+++ b/heronslip/src/worker/kserve.rs
@@ -1,5 +1,6 @@
 //! KServe v2 over HTTP/1.1 to one worker. Each connection carries one exchange at a time. Load commands, copy
 //! queries and unloads use the model repository extension.
+use super::frames::StartCondition;
 use super::{ConnectionUsage, ReportSender, Transport};
 use crate::coop::{Budget, Group};
 use crate::http::{ChunkedDecoder, ChunkedItem, Head};
@@ -104,8 +105,8 @@
     cancelled: Arc<AtomicBool>,
     /// The transport's epoch when the job was queued.
     epoch: u64,
-    /// Whether the job gives the worker new work. Such a job is not written once its epoch has passed.
-    is_new_work: bool,
+    /// Whether the job may still be started.
+    condition: StartCondition,
     /// After this the connection is closed if the worker has not replied, so that a silent worker cannot keep
     /// connections busy.
     deadline: Instant,
@@ -142,7 +143,7 @@
     }
 
     /// Queues a job, and starts another connection if all are busy and the limit allows it.
-    fn enqueue(&mut self, kind: JobKind, bytes: Vec<u8>, is_new_work: bool, budget: Micros) {
+    fn enqueue(&mut self, kind: JobKind, bytes: Vec<u8>, condition: StartCondition, budget: Micros) {
         let cancelled = Arc::new(AtomicBool::new(false));
         if let JobKind::Attempt { key, .. } = kind {
             self.drop_ended_cancel_flags();
@@ -152,7 +153,7 @@
         let deadline = Instant::now() + Duration::from_micros(budget);
         let pending = self.state.pending.fetch_add(1, Ordering::AcqRel) + 1;
         // If no connection takes the job, the core's timer ends it.
-        let _ = self.jobs.send(Job { kind, bytes, cancelled, epoch, is_new_work, deadline });
+        let _ = self.jobs.send(Job { kind, bytes, cancelled, epoch, condition, deadline });
         let connections = self.state.connections.load(Ordering::Acquire);
         if pending > connections && connections < self.limits.connections_per_kserve_worker {
             self.state.connections.fetch_add(1, Ordering::AcqRel);
@@ -182,17 +183,16 @@
 }
 
 impl Transport for KserveTransport {
-    // The start deadlines are ignored: these workers come from a file, so what is known of their readiness
-    // does not expire.
     fn send_attempt(
-        &mut self, key: AttemptKey, request: &Arc<Request>, budget: Micros, _start_deadline: Option<Instant>,
+        &mut self, key: AttemptKey, request: &Arc<Request>, budget: Micros, start_deadline: Option<Instant>,
     ) {
         let path = format!("/v2/models/{:016x}/infer", request.function);
         let (bytes, wrapped) = match &request.payload {
             Payload::Json(body) => (self.post(&path, budget, body), false),
             Payload::Bytes(body) => (self.post(&path, budget, &wrap_request(request, body, budget)), true),
         };
-        self.enqueue(JobKind::Attempt { key, wrapped }, bytes, true, budget);
+        let condition = StartCondition::WhileReady { deadline: start_deadline };
+        self.enqueue(JobKind::Attempt { key, wrapped }, bytes, condition, budget);
     }
 
     fn cancel_attempt(&mut self, key: AttemptKey) {
@@ -219,6 +219,8 @@
 
     fn close_longest_idle(&mut self) {}
 
+    // The start deadline is ignored: these workers come from a file, so what is known of their readiness does
+    // not expire.
     fn send_load(
         &mut self, command: u64, function: FunctionId, copies: u32, _start_deadline: Option<Instant>,
     ) {
@@ -230,10 +232,12 @@
         } else {
             self.post("/v2/repository/index", self.limits.command_timeout, b"{\"ready\":true}")
         };
+        let condition =
+            if copies > 0 { StartCondition::WhileReady { deadline: None } } else { StartCondition::Always };
         self.enqueue(
             JobKind::Load { command, function, copies },
             bytes,
-            copies > 0,
+            condition,
             self.limits.command_timeout,
         );
     }
@@ -246,7 +250,7 @@
     fn unload(&mut self, function: FunctionId) {
         let path = format!("/v2/repository/models/{function:016x}/unload");
         let bytes = self.post(&path, self.limits.command_timeout, b"{}");
-        self.enqueue(JobKind::Unload, bytes, false, self.limits.command_timeout);
+        self.enqueue(JobKind::Unload, bytes, StartCondition::Always, self.limits.command_timeout);
     }
 
     fn retire(&mut self) {
@@ -318,8 +322,8 @@
 
     /// Whether the job must not be started any more.
     fn must_not_start(&self, job: &Job) -> bool {
-        let outdated = job.epoch != self.state.epoch.load(Ordering::Acquire);
-        job.cancelled.load(Ordering::Acquire) || outdated && job.is_new_work
+        let retired = job.epoch != self.state.epoch.load(Ordering::Acquire);
+        job.cancelled.load(Ordering::Acquire) || job.condition.has_expired(retired, Instant::now())
     }
 
     /// Sends the request and reads the whole reply.
--- a/heronslip/tests/transport.rs
+++ b/heronslip/tests/transport.rs
@@ -100,6 +100,36 @@
     );
 }
 
+fn frames(address: SocketAddr, limits: Limits, reports: mpsc::Sender<Message>) -> Box<dyn Transport> {
+    Box::new(frame_transport(address, limits, reports))
+}
+
+fn kserve(address: SocketAddr, limits: Limits, reports: mpsc::Sender<Message>) -> Box<dyn Transport> {
+    heronslip::net::configure_scheduler(&limits);
+    Box::new(KserveTransport::new(address, Arc::new(limits), ReportSender(reports)))
+}
+
+/// Guards against requests that run twice: an attempt waits for its connection until after its start deadline,
+/// when workers no longer know the key of the attempt that it repeats.
+#[rstest]
+#[case::frames(frames)]
+#[case::kserve(kserve)]
+fn an_attempt_that_waits_for_a_connection_is_not_written_after_its_start_deadline(
+    #[case] new_transport: fn(SocketAddr, Limits, mpsc::Sender<Message>) -> Box<dyn Transport>,
+) {
+    let (listener, fillers) = saturated_listener();
+    let mut limits = Limits::new(192, 1024, &Settings::default());
+    limits.connect_timeout = Duration::from_secs(20);
+    let (queue, reports) = mpsc::channel();
+    let mut transport = new_transport(listener.local_addr().expect("bound"), limits, queue);
+    let start_deadline = Instant::now() + Duration::from_millis(50);
+    let key = AttemptKey { request: 1, attempt: 0 };
+    transport.send_attempt(key, &request(9), 15_000_000, Some(start_deadline));
+    std::thread::sleep(start_deadline.saturating_duration_since(Instant::now()));
+    let _accepted: Vec<TcpStream> = (0..=fillers.len()).map(|_| listener.accept().expect("one").0).collect();
+    assert_eq!(attempt_end(&reports), (key, Outcome::NotSent));
+}
+
 fn request(wire_id: u64) -> Arc<Request> {
     Arc::new(Request {
         wire_id,
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -111,16 +111,30 @@
         }
         let Some(first) = request.attempts.iter().find(|a| a.may_have_run) else { return true };
         let class = &self.settings.classes[request.class];
+        let window_end = self.dedup_window_end(request.class, &request.attempts);
         let (first_entry, entry) = (&self.workers[first.worker].entry, &self.workers[worker_slot].entry);
         let in_scope = match class.dedup_scope {
             DedupScope::All => true,
             DedupScope::Zone => first_entry.zone == entry.zone,
             DedupScope::Cell => first_entry.cell == entry.cell,
         };
-        let deduplicated = class.retry_safety == RetrySafety::Deduplicated
-            && in_scope
-            && now + TICK < first.sent_at + class.dedup_window;
-        class.retry_safety == RetrySafety::Safe || deduplicated
+        class.retry_safety == RetrySafety::Safe || in_scope && window_end.is_some_and(|end| now < end)
+    }
+
+    /// Until when workers drop a repeat of these attempts; `None` if none of them can have run, or if workers
+    /// drop no repeats of the class.
+    fn dedup_window_end(&self, class: usize, attempts: &[Attempt]) -> Option<Micros> {
+        let class = &self.settings.classes[class];
+        let first = attempts.iter().find(|a| a.may_have_run)?;
+        let end = (first.sent_at + class.dedup_window).saturating_sub(TICK);
+        (class.retry_safety == RetrySafety::Deduplicated).then_some(end)
+    }
+
+    /// Until when the first byte of an attempt may be sent, for the code that carries out actions: a repeat
+    /// must reach its worker while the workers still drop it. `None` if the attempt is no such repeat.
+    pub fn attempt_start_deadline(&self, id: RequestId, attempt: usize) -> Option<Micros> {
+        let request = self.requests.get(&id)?;
+        self.dedup_window_end(request.class, request.attempts.get(..attempt)?)
     }
 
     /// Sends a request, or queues it until a copy is loaded, or ends it if nothing more can be done.
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -74,6 +74,31 @@
     }
 }
 
+/// Guards against requests that run twice: what carries the actions out must learn until when a repeat may
+/// still be sent, since the repeat may wait for a connection.
+#[test]
+fn rule_2_a_repeat_states_the_end_of_its_window() {
+    let window_end = |class, outcome| {
+        let mut harness = Harness::new(settings(), 6);
+        harness.make_warm(7, 1, &["w0", "w1", "w2", "w3", "w4", "w5"]);
+        let sent_at = harness.now;
+        harness.request(2, class, 7);
+        assert_eq!(
+            harness.controller.attempt_start_deadline(2, 0),
+            None,
+            "the first attempt repeats nothing"
+        );
+        harness.now += 50 * MS;
+        assert_eq!(sends(&harness.outcome(2, 0, outcome, 50 * MS)).len(), 1);
+        harness.controller.attempt_start_deadline(2, 1).map(|end| end - sent_at)
+    };
+    let end = window_end(DEDUPLICATED, Outcome::Error).expect("it may have run");
+    let window = settings().classes[DEDUPLICATED].dedup_window;
+    assert!(end < window && end + 100 * MS > window, "{end} of {window}");
+    assert_eq!(window_end(DEDUPLICATED, Outcome::Rejected), None, "it cannot have run");
+    assert_eq!(window_end(SAFE, Outcome::Error), None, "it may run again");
+}
+
 #[test]
 fn rule_3_a_draining_or_gone_worker_gets_nothing_new() {
     for state in [WorkerState::Draining, WorkerState::Gone] {
