Fail a request that may have run as soon as its span is over

Cause: Controller::place ends a request that may not be repeated only for unsafe classes. One of a deduplicated class with its span over fits no worker, so it was queued for a copy until its deadline.

Change: place ends it when the span of its first attempt that may have run is over. The decision is the same as before, only its answer comes at once.

--- a/src/placement.rs
+++ b/src/placement.rs
@@ -146,11 +146,13 @@
             return;
         }
         let may_have_run = request.attempts.iter().any(|a| a.may_have_run);
+        let window_over = self.dedup_window_end(class, &request.attempts).is_some_and(|end| now >= end);
         // The deadline is checked here because an attempt may time out just before the request's timer fires.
         if now >= request.deadline
             || request.attempts.iter().filter(|a| !a.open && !a.may_have_run).count() >= MAX_REJECTIONS
             || request.attempts.len() as u32 >= self.settings.max_attempts
             || may_have_run && self.settings.classes[class].retry_safety == RetrySafety::Unsafe
+            || window_over
             // Keeps calls that no worker can serve from going round the workers: each replies with an error.
             || request.errors >= MAX_ERRORS_NEVER_SERVED && !self.functions[function_slot].ever_served
         {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -99,6 +99,30 @@
     assert_eq!(window_end(SAFE, Outcome::Error), None, "it may run again");
 }
 
+/// Guards against responses that are held back: a request that may have run and may not be repeated any more
+/// waited in the queue until its client gave up.
+#[test]
+fn rule_2_a_request_fails_at_once_when_its_window_is_over() {
+    let mut harness = Harness::new(settings(), 6);
+    harness.make_warm(7, 1, &["w0", "w1", "w2", "w3", "w4", "w5"]);
+    let window = settings().classes[DEDUPLICATED].dedup_window;
+    harness.feed(Event::Request {
+        id: 2,
+        class: DEDUPLICATED,
+        tenant: None,
+        function: 7,
+        timeout: 4 * window,
+        memory_mb: 500.0,
+        lanes: 1,
+        load_time: 0,
+        retry: false,
+    });
+    assert_eq!(sends(&harness.outcome(2, 0, Outcome::Error, 50 * MS)).len(), 1);
+    harness.now += window;
+    let out = harness.outcome(2, 1, Outcome::NotSent, window);
+    assert!(out.contains(&Action::Fail { id: 2 }), "{out:?}");
+}
+
 #[test]
 fn rule_3_a_draining_or_gone_worker_gets_nothing_new() {
     for state in [WorkerState::Draining, WorkerState::Gone] {
