--- /dev/null
+++ b/heronslip/src/connection_limiter.rs
@@ -0,0 +1,157 @@
+//! The limit on client connections, and what each of them is doing.
+use crate::limits::Limits;
+use crate::net::next_connection_id;
+use crate::outbox::Outbox;
+use may::sync::Mutex;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::time::Instant;
+
+/// When the limit on client connections is reached, this fraction (1/16) of the limit is closed at a time.
+const IDLE_CLOSE_DIVISOR: usize = 16;
+
+/// Limits the client connections of all listeners together.
+#[derive(Clone)]
+pub struct ConnectionLimiter {
+    connections: Arc<Mutex<BTreeMap<u64, Arc<ClientActivity>>>>,
+    limit: usize,
+}
+
+/// What a client connection is doing.
+#[derive(Clone, Copy)]
+struct Activity {
+    /// Requests without a response.
+    open_requests: usize,
+    /// When the last request was answered or aborted; before that, when the client connected.
+    idle_since: Instant,
+    /// Whether a request on it was served or refused. Other connections may never carry a valid request.
+    had_valid_request: bool,
+    /// Whether a request has been read in part.
+    reading_request: bool,
+}
+
+/// The activity of one client connection, by which the limiter chooses the connections to close.
+pub struct ClientActivity {
+    /// The connection's id, unique in the process.
+    pub connection_id: u64,
+    state: Mutex<(Activity, Option<Outbox>)>,
+}
+
+impl ClientActivity {
+    fn update(&self, update: impl FnOnce(&mut Activity)) {
+        if let Ok(mut state) = self.state.lock() {
+            update(&mut state.0);
+        }
+    }
+
+    /// Sets the sending side, through which the limiter can close the connection.
+    pub fn set_outbox(&self, outbox: &Outbox) {
+        if let Ok(mut state) = self.state.lock() {
+            state.1 = Some(outbox.clone());
+        }
+    }
+
+    /// Records that a request was passed to the core.
+    pub fn request_opened(&self) {
+        self.update(|activity| activity.open_requests += 1);
+    }
+
+    /// Records that a request has ended; `valid` if it was one that workers could serve.
+    pub fn request_ended(&self, valid: bool) {
+        self.update(|activity| {
+            activity.open_requests = activity.open_requests.saturating_sub(1);
+            activity.idle_since = Instant::now();
+            activity.had_valid_request |= valid;
+        });
+    }
+
+    /// Records whether a request has been read in part.
+    pub fn set_reading_request(&self, reading: bool) {
+        self.update(|activity| activity.reading_request = reading);
+    }
+
+    /// Records that a request was answered without the core.
+    pub fn answered_directly(&self) {
+        self.update(|activity| activity.idle_since = Instant::now());
+    }
+
+    /// Whether no request is open.
+    pub fn is_idle(&self) -> bool {
+        self.state.lock().is_ok_and(|s| s.0.open_requests == 0)
+    }
+
+    /// Whether the connection has been idle for so long that it should close. This frees the descriptors and
+    /// memory of connections that never send a request, or send one and stay open. Common clients close
+    /// sooner.
+    pub fn is_expired(&self, limits: &Limits) -> bool {
+        let Ok(state) = self.state.lock() else { return true };
+        let Activity { open_requests, idle_since, had_valid_request, .. } = state.0;
+        let timeout =
+            if had_valid_request { limits.client_idle_timeout } else { limits.first_request_timeout };
+        open_requests == 0 && idle_since.elapsed() > timeout
+    }
+}
+
+impl ConnectionLimiter {
+    /// A limiter of `limit` connections.
+    pub fn new(limit: usize) -> Self {
+        ConnectionLimiter { connections: Arc::default(), limit }
+    }
+
+    /// A permit for a new connection; `None` at the limit.
+    pub fn acquire(&self) -> Option<ConnectionPermit> {
+        let mut connections = self.connections.lock().ok()?;
+        if connections.len() >= self.limit {
+            return None;
+        }
+        let activity = Activity {
+            open_requests: 0,
+            idle_since: Instant::now(),
+            had_valid_request: false,
+            reading_request: false,
+        };
+        let state = Mutex::new((activity, None));
+        let activity = Arc::new(ClientActivity { connection_id: next_connection_id(), state });
+        connections.insert(activity.connection_id, activity.clone());
+        Some(ConnectionPermit { limiter: self.clone(), activity })
+    }
+
+    /// Closes some of the idle connections: first those that never carried a valid request, then those idle
+    /// longest. This keeps hundreds of silent connections from locking out common clients. Returns whether a
+    /// permit is free or may soon be.
+    pub fn close_idle(&self) -> bool {
+        let Ok(connections) = self.connections.lock() else { return false };
+        // It is not known yet whether a connection that was only just accepted sends a request.
+        let is_new = |a: &Arc<ClientActivity>| a.state.lock().is_ok_and(|s| s.1.is_none());
+        let any_new = connections.values().any(is_new);
+        let idle = |a: &Arc<ClientActivity>| {
+            let state = a.state.lock().ok()?;
+            let activity = state.0;
+            // A partly read request counts as a common client's if the connection had a valid request before.
+            let in_use = activity.open_requests > 0 || activity.reading_request && activity.had_valid_request;
+            let outbox = state.1.clone().filter(|_| !in_use)?;
+            Some(((activity.had_valid_request, activity.reading_request, activity.idle_since), outbox))
+        };
+        let mut idle: Vec<_> = connections.values().filter_map(idle).collect();
+        drop(connections);
+        idle.sort_by_key(|i| i.0);
+        idle.truncate(self.limit.div_ceil(IDLE_CLOSE_DIVISOR));
+        idle.iter().for_each(|(_, outbox)| outbox.close());
+        any_new || !idle.is_empty()
+    }
+}
+
+/// The permit of one client connection. Dropping it releases it.
+pub struct ConnectionPermit {
+    limiter: ConnectionLimiter,
+    /// The connection's activity.
+    pub activity: Arc<ClientActivity>,
+}
+
+impl Drop for ConnectionPermit {
+    fn drop(&mut self) {
+        if let Ok(mut connections) = self.limiter.connections.lock() {
+            connections.remove(&self.activity.connection_id);
+        }
+    }
+}
--- a/heronslip/src/lib.rs
+++ b/heronslip/src/lib.rs
@@ -11,6 +11,7 @@
 #[macro_use]
 pub mod log;
 pub mod config;
+pub mod connection_limiter;
 pub mod coop;
 pub mod core;
 pub mod discovery;
@@ -18,6 +19,7 @@
 pub mod limits;
 pub mod messages;
 pub mod net;
+pub mod outbox;
 pub mod ring;
 pub mod server;
 pub mod shutdown;
@@ -26,6 +28,7 @@
 use crate::core::{Core, SharedState};
 use crate::messages::{Message, WorkerProtocol};
 use config::Config;
+use connection_limiter::{ConnectionLimiter, ConnectionPermit};
 use discovery::{EventError, ListEvent, Subscriber};
 use limits::MemoryBudget;
 use may::net::TcpListener;
@@ -49,7 +52,7 @@
         core: queue.clone(),
         limits: limits.clone(),
         memory_budget: MemoryBudget::new(limits.buffered_bytes),
-        connection_limiter: net::ConnectionLimiter::new(limits.client_connections),
+        connection_limiter: ConnectionLimiter::new(limits.client_connections),
         unsent_bytes: Arc::default(),
         shared: shared.clone(),
         incoming_requests: Arc::default(),
@@ -147,7 +150,7 @@
 
 fn listen(
     address: SocketAddr, context: &ServerContext, name: &'static str,
-    serve: fn(net::Socket, &ServerContext, net::ConnectionPermit),
+    serve: fn(net::Socket, &ServerContext, ConnectionPermit),
 ) -> Result<Acceptor, String> {
     let error = |e: std::io::Error| format!("cannot listen on {address}: {e}");
     let acceptor = Acceptor::new(bind(address).map_err(error)?);
--- a/heronslip/src/server/fastcgi.rs
+++ b/heronslip/src/server/fastcgi.rs
@@ -1,8 +1,10 @@
 //! The server for the platform's clients: FastCGI 1.0, Responder role, with multiplexed requests.
 use super::{is_valid_idempotency_key, parse_id, RequestParameters, ServerContext};
+use crate::connection_limiter::{ClientActivity, ConnectionPermit};
 use crate::limits::{Limits, Reservation};
 use crate::messages::{Client, IncomingGuard, Message, Payload, Request, Response};
-use crate::net::{is_timeout, ClientActivity, ConnectionPermit, Outbox, Socket};
+use crate::net::{is_timeout, Socket};
+use crate::outbox::Outbox;
 use crate::ring::RingBuffer;
 use may::sync::Mutex;
 use std::collections::HashMap;
--- a/heronslip/src/server/kserve.rs
+++ b/heronslip/src/server/kserve.rs
@@ -1,10 +1,12 @@
 //! The KServe v2 server: the Open Inference Protocol over HTTP/1.1 REST. Its requests go to the same core as
 //! those of FastCGI clients. The read-only administration API uses the same HTTP code.
 use super::{is_valid_idempotency_key, parse_id, RequestParameters, ServerContext};
+use crate::connection_limiter::{ClientActivity, ConnectionPermit};
 use crate::http::{response, Head};
 use crate::limits::Limits;
 use crate::messages::{Client, IncomingGuard, Message, Payload, Request, Response};
-use crate::net::{is_timeout, ClientActivity, ConnectionPermit, Outbox, Socket};
+use crate::net::{is_timeout, Socket};
+use crate::outbox::Outbox;
 use crate::ring::RingBuffer;
 use crate::worker::kserve::wrap_response;
 use heronslip_policy::json::{as_object, boolean, number, object, parse, string};
--- a/heronslip/src/server/mod.rs
+++ b/heronslip/src/server/mod.rs
@@ -2,11 +2,13 @@
 pub mod fastcgi;
 pub mod kserve;
 
+use crate::connection_limiter::{ConnectionLimiter, ConnectionPermit};
 use crate::coop::{pause, Budget, Group};
 use crate::core::SharedState;
 use crate::limits::{Limits, MemoryBudget};
 use crate::messages::Message;
-use crate::net::{spawn, ConnectionLimiter, ConnectionPermit, Outbox, Socket};
+use crate::net::{spawn, Socket};
+use crate::outbox::Outbox;
 use may::net::TcpListener;
 use nix::errno::Errno;
 use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
--- a/heronslip/tests/clients.rs
+++ b/heronslip/tests/clients.rs
@@ -5,8 +5,9 @@
     connect, fastcgi_call, fastcgi_record, fastcgi_request, read_fastcgi_response, start_fastcgi_server,
     start_server, test_context, TIMEOUT,
 };
+use heronslip::connection_limiter::ConnectionPermit;
 use heronslip::messages::{Client, Message, Payload, Response};
-use heronslip::net::{ConnectionPermit, Socket};
+use heronslip::net::Socket;
 use heronslip::server::{fastcgi, kserve, ServerContext};
 use rstest::rstest;
 use std::io::{Read, Write};
--- a/heronslip/tests/common/mod.rs
+++ b/heronslip/tests/common/mod.rs
@@ -40,9 +40,10 @@
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::Arc;
 
+use heronslip::connection_limiter::{ConnectionLimiter, ConnectionPermit};
 use heronslip::limits::{Limits, MemoryBudget};
 use heronslip::messages::Message;
-use heronslip::net::{ConnectionLimiter, ConnectionPermit, Socket};
+use heronslip::net::Socket;
 use heronslip::server::{accept_connections, Acceptor, ServerContext};
 use std::time::{Duration, Instant};
 
--- a/heronslip/tests/graceful_shutdown.rs
+++ b/heronslip/tests/graceful_shutdown.rs
@@ -3,8 +3,9 @@
 mod common;
 
 use common::{connect, fastcgi_request, start_fastcgi_server, test_context, TIMEOUT};
+use heronslip::connection_limiter::ConnectionPermit;
 use heronslip::messages::Message;
-use heronslip::net::{spawn, ConnectionPermit, Socket};
+use heronslip::net::{spawn, Socket};
 use heronslip::server::{accept_connections, Acceptor, ServerContext};
 use may::net::TcpListener;
 use std::io::{Read, Write};
