--- a/heronslip/src/server/fastcgi.rs
+++ b/heronslip/src/server/fastcgi/mod.rs
@@ -1,4 +1,8 @@
 //! The server for the platform's clients: FastCGI 1.0, Responder role, with multiplexed requests.
+mod records;
+
+pub use records::{decode_pairs, encode_record, encode_response};
+
 use super::{is_valid_idempotency_key, parse_id, RequestParameters, ServerContext};
 use crate::connection_limiter::{ClientActivity, ConnectionPermit};
 use crate::limits::{Limits, Reservation};
@@ -7,59 +11,12 @@
 use crate::outbox::Outbox;
 use crate::ring::RingBuffer;
 use may::sync::Mutex;
+use records::{encode_end_request, kind, status, Record, RecordReader, KEEP_CONN, RESPONDER};
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Instant;
 
-const VERSION: u8 = 1;
-// Record types.
-const BEGIN_REQUEST: u8 = 1;
-const ABORT_REQUEST: u8 = 2;
-const END_REQUEST: u8 = 3;
-const PARAMS: u8 = 4;
-const STDIN: u8 = 5;
-const STDOUT: u8 = 6;
-const GET_VALUES: u8 = 9;
-const GET_VALUES_RESULT: u8 = 10;
-const UNKNOWN_TYPE: u8 = 11;
-// Role and flag of BEGIN_REQUEST.
-const RESPONDER: u16 = 1;
-const KEEP_CONN: u8 = 1;
-// Protocol statuses of END_REQUEST.
-const REQUEST_COMPLETE: u8 = 0;
-const OVERLOADED: u8 = 2;
-const UNKNOWN_ROLE: u8 = 3;
-/// Length of a record header, in bytes.
-const HEADER: usize = 8;
-/// Maximum content of a STDOUT record in bytes, a multiple of 8 below 64 KiB.
-const MAX_STDOUT_CONTENT: usize = 0xfff8;
-
-/// Encodes a record; `content` must be shorter than 64 KiB.
-pub fn encode_record(kind: u8, id: u16, content: &[u8], out: &mut Vec<u8>) {
-    out.extend([VERSION, kind]);
-    out.extend(id.to_be_bytes());
-    out.extend((content.len() as u16).to_be_bytes());
-    out.extend([0, 0]);
-    out.extend(content);
-}
-
-fn encode_end_request(id: u16, status: u8, out: &mut Vec<u8>) {
-    encode_record(END_REQUEST, id, &[0, 0, 0, 0, status, 0, 0, 0], out);
-}
-
-/// Encodes a CGI response as STDOUT records and END_REQUEST.
-pub fn encode_response(id: u16, head: &str, body: &[u8]) -> Vec<u8> {
-    let content = [head.as_bytes(), b"\r\n", body].concat();
-    let mut out = Vec::with_capacity(content.len() + 64);
-    for part in content.chunks(MAX_STDOUT_CONTENT) {
-        encode_record(STDOUT, id, part, &mut out);
-    }
-    encode_record(STDOUT, id, &[], &mut out);
-    encode_end_request(id, REQUEST_COMPLETE, &mut out);
-    out
-}
-
 fn response_bytes(id: u16, response: &Response) -> Vec<u8> {
     match response {
         Response::Served(payload) => {
@@ -75,33 +32,6 @@
     }
 }
 
-/// Decodes the name-value pairs of a parameter stream. A truncated pair ends them.
-pub fn decode_pairs(mut bytes: &[u8]) -> Vec<(String, String)> {
-    fn decode_length(bytes: &mut &[u8]) -> Option<usize> {
-        let (&first, rest) = bytes.split_first()?;
-        if first < 0x80 {
-            *bytes = rest;
-            return Some(first.into());
-        }
-        let (long, rest) = bytes.split_first_chunk::<4>()?;
-        *bytes = rest;
-        Some((u32::from_be_bytes(*long) & 0x7fff_ffff) as usize)
-    }
-    let mut pairs = Vec::new();
-    while let Some((name_len, value_len)) =
-        decode_length(&mut bytes).and_then(|name| Some((name, decode_length(&mut bytes)?)))
-    {
-        if bytes.len() < name_len.saturating_add(value_len) {
-            break;
-        }
-        let (name, rest) = bytes.split_at(name_len);
-        let (value, rest) = rest.split_at(value_len);
-        pairs.push((String::from_utf8_lossy(name).into_owned(), String::from_utf8_lossy(value).into_owned()));
-        bytes = rest;
-    }
-    pairs
-}
-
 /// An open request of a connection, by its FastCGI id.
 struct OpenRequest {
     /// Distinguishes the requests that use the same FastCGI id one after the other.
@@ -222,8 +152,8 @@
         let limits = self.context.limits.clone();
         stream.set_read_timeout(limits.client_check_interval).map_err(|e| e.to_string())?;
         let mut ring = RingBuffer::new(limits.client_buffer);
-        let mut record = Vec::new();
-        let (mut last_check, mut record_start) = (Instant::now(), Instant::now());
+        let mut records = RecordReader::new();
+        let mut last_check = Instant::now();
         loop {
             match ring.read_from(&mut stream) {
                 Ok(0) => return Ok(()),
@@ -231,55 +161,42 @@
                 Err(e) if is_timeout(&e) => {}
                 Err(e) => return Err(e.to_string()),
             }
-            loop {
-                if record.is_empty() {
-                    record_start = Instant::now();
-                }
-                if record.len() < HEADER {
-                    ring.drain_into(HEADER - record.len(), &mut record);
-                }
-                let [version, kind, i0, i1, c0, c1, padding, _, ..] = record[..] else { break };
-                if version != VERSION {
-                    return Err(format!("unsupported FastCGI version {version}"));
-                }
-                let content = usize::from(u16::from_be_bytes([c0, c1]));
-                let record_len = HEADER + content + usize::from(padding);
-                ring.drain_into(record_len - record.len(), &mut record);
-                if record.len() < record_len {
-                    break;
-                }
-                self.handle_record(kind, u16::from_be_bytes([i0, i1]), &record[HEADER..HEADER + content])?;
-                record.clear();
+            while let Some(record) = records.next(&mut ring)? {
+                self.handle_record(record)?;
                 if self.connection.outbox.is_closing() {
                     return Ok(());
                 }
             }
-            let activity = &self.connection.activity;
-            activity.set_reading_request(!self.partial.is_empty() || !record.is_empty());
+            let is_reading = !self.partial.is_empty() || records.partial_since().is_some();
+            self.connection.activity.set_reading_request(is_reading);
             if last_check.elapsed() >= limits.client_check_interval {
                 last_check = Instant::now();
-                if !record.is_empty()
-                    && record_start.elapsed() > limits.request_read_timeout
-                    && activity.is_idle()
-                {
-                    return Err("timed out reading a record".to_owned());
-                }
-                self.reject_overdue(&limits)?;
+                self.reject_overdue(records.partial_since(), &limits)?;
+                let is_reading = !self.partial.is_empty() || records.partial_since().is_some();
                 // Checked here and not after a response, so that requests read by now are answered first.
-                let activity = &self.connection.activity;
-                let stopping =
-                    self.context.shared.refuses_requests.load(Ordering::Acquire) && activity.is_idle();
-                let done = stopping || activity.is_expired(&limits);
-                if self.partial.is_empty() && record.is_empty() && done {
+                if !is_reading && self.may_close(&limits) {
                     return Ok(());
                 }
             }
         }
     }
 
+    /// Whether the connection may close if no request is being read: the program stops, or the connection has
+    /// been idle for too long.
+    fn may_close(&self, limits: &Limits) -> bool {
+        let activity = &self.connection.activity;
+        let stops = self.context.shared.refuses_requests.load(Ordering::Acquire);
+        stops && activity.is_idle() || activity.is_expired(limits)
+    }
+
     /// Rejects requests that take too long to arrive, or closes the connection if nothing else is open on it.
-    /// Each must get a response or a close, and holds memory until then.
-    fn reject_overdue(&mut self, limits: &Limits) -> Result<(), String> {
+    /// Each must get a response or a close, and holds memory until then. `record_since` tells since when a
+    /// record has been read in part.
+    fn reject_overdue(&mut self, record_since: Option<Instant>, limits: &Limits) -> Result<(), String> {
+        let record_overdue = record_since.is_some_and(|since| since.elapsed() > limits.request_read_timeout);
+        if record_overdue && self.connection.activity.is_idle() {
+            return Err("timed out reading a record".to_owned());
+        }
         let is_overdue = |p: &&PartialRequest| p.started_at.elapsed() > limits.request_read_timeout;
         if self.partial.values().any(|p| is_overdue(&p)) && self.connection.activity.is_idle() {
             return Err("timed out reading a request".to_owned());
@@ -303,7 +220,7 @@
     fn reject(&self, id: u16, rejection: Rejection, close: bool) {
         match rejection {
             Rejection::OutOfMemory => {
-                self.end_request(id, OVERLOADED, "the memory budget for requests is exhausted");
+                self.end_request(id, status::OVERLOADED, "the memory budget for requests is exhausted");
             }
             Rejection::Invalid(reason) => {
                 log_limited!("fastcgi: request with FastCGI id {id} failed: {reason}");
@@ -325,18 +242,19 @@
         within_limit.then_some(()).ok_or("too many bytes of rejected or unknown requests".to_owned())
     }
 
-    fn handle_record(&mut self, kind: u8, id: u16, content: &[u8]) -> Result<(), String> {
+    fn handle_record(&mut self, record: Record<'_>) -> Result<(), String> {
+        let Record { kind, id, content } = record;
         match (kind, id) {
-            (GET_VALUES, 0) => self.get_values(content),
+            (kind::GET_VALUES, 0) => self.get_values(content),
             (_, 0) => {
                 let mut out = Vec::new();
-                encode_record(UNKNOWN_TYPE, 0, &[kind, 0, 0, 0, 0, 0, 0, 0], &mut out);
+                encode_record(kind::UNKNOWN_TYPE, 0, &[kind, 0, 0, 0, 0, 0, 0, 0], &mut out);
                 self.connection.outbox.send(out);
             }
-            (BEGIN_REQUEST, _) => return self.begin_request(id, content),
-            (ABORT_REQUEST, _) => self.abort_request(id),
-            (PARAMS, _) => return self.add_params(id, content),
-            (STDIN, _) => return self.add_body(id, content),
+            (kind::BEGIN_REQUEST, _) => return self.begin_request(id, content),
+            (kind::ABORT_REQUEST, _) => self.abort_request(id),
+            (kind::PARAMS, _) => return self.add_params(id, content),
+            (kind::STDIN, _) => return self.add_body(id, content),
             // DATA belongs to another role; other kinds have no meaning for a Responder.
             _ => return self.discard(id, content.len()),
         }
@@ -360,7 +278,7 @@
             values.extend(value.as_bytes());
         }
         let mut out = Vec::new();
-        encode_record(GET_VALUES_RESULT, 0, &values, &mut out);
+        encode_record(kind::GET_VALUES_RESULT, 0, &values, &mut out);
         self.connection.outbox.send(out);
     }
 
@@ -383,9 +301,9 @@
         }
         self.partial.remove(&id);
         if u16::from_be_bytes([*r0, *r1]) != RESPONDER {
-            self.end_request(id, UNKNOWN_ROLE, "unsupported role");
+            self.end_request(id, status::UNKNOWN_ROLE, "unsupported role");
         } else if open_requests >= self.context.limits.requests_per_connection {
-            self.end_request(id, OVERLOADED, "too many open requests on its connection");
+            self.end_request(id, status::OVERLOADED, "too many open requests on its connection");
         } else {
             let partial = PartialRequest {
                 started_at: Instant::now(),
