Test the memory limit against refused and aborted requests too

The test of unknown records becomes one of three cases, with the same bound (the stated 32 MB), clients and bytes.

Aborted requests are a fault that is not mended here: the core's timers of a request stay until its deadline. Release build, one run: 97.7 MB at 11 MB/s with a wait of 9 s; with a wait of 1 s it stops at 13 MB after the first second, so a queue without bound is ruled out.

--- a/heronslip/tests/memory.rs
+++ b/heronslip/tests/memory.rs
@@ -1,9 +1,11 @@
 //! The platform's limit on memory, over which it kills the program.
 mod common;
 
-use common::{connect, fastcgi_record, ProgramConfig, TestProgram};
+use common::{connect, fastcgi_call, fastcgi_record, fastcgi_request, ProgramConfig, TestProgram};
+use rstest::rstest;
 use std::io::Write;
 use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 /// Bytes that a bad client sends in all.
@@ -24,19 +26,38 @@
     }
 }
 
-/// Guards against memory over the limit: clients cause many short responses, and the queue of them takes far
-/// more memory than their content.
-#[test]
-fn many_short_responses_stay_within_the_memory_limit() {
+/// Records of a type that FastCGI does not define.
+fn unknown_records() -> Vec<u8> {
+    fastcgi_record(77, 0, b"unknown.").repeat(4_000)
+}
+
+/// Requests that are refused at once.
+fn requests_without_an_id() -> Vec<u8> {
+    fastcgi_request(1, &[("SCRIPT_NAME", "/v1/tile-render")], b"").repeat(500)
+}
+
+/// Requests that are taken back at once.
+fn aborted_requests() -> Vec<u8> {
+    const ABORT_REQUEST: u8 = 2;
+    let request = fastcgi_call(1, "00000000000000a1", "9000", "x");
+    [request, fastcgi_record(ABORT_REQUEST, 1, &[])].concat().repeat(200)
+}
+
+/// Guards against memory over the limit: clients that send at full speed and never wait for a response fill a
+/// queue of responses or of messages to the core, and each entry takes far more memory than its content.
+#[rstest]
+#[case::unknown_records(unknown_records())]
+#[case::requests_without_an_id(requests_without_an_id())]
+#[case::aborted_requests(aborted_requests())]
+fn clients_at_full_speed_stay_within_the_memory_limit(#[case] messages: Vec<u8>) {
     const MEMORY_MB: u64 = 32;
     const CLIENTS: usize = 12;
     let program = TestProgram::with(ProgramConfig { memory_mb: MEMORY_MB, ..ProgramConfig::default() });
-    let address = program.fastcgi;
+    let (address, messages) = (program.fastcgi, Arc::new(messages));
     let clients: Vec<_> = (0..CLIENTS)
         .map(|_| {
-            std::thread::spawn(move || {
-                send_at_full_speed(address, &fastcgi_record(77, 0, b"unknown.").repeat(4_000));
-            })
+            let messages = messages.clone();
+            std::thread::spawn(move || send_at_full_speed(address, &messages))
         })
         .collect();
     let (mut most_kib, start) = (0, Instant::now());
