Let coroutines wait on timers of the front end's own, not on those of may

Callers saw the process end by SIGABRT ("malloc(): mismatching next->prev_size", "unaligned fastbin chunk"), within seconds of many short requests and closed connections.

Cause: a write to freed memory in may 0.3.51 with may_queue 0.1.24. may keeps a list of timers for each length and, once it has seen more than 1,024 lengths, frees a list that has run empty. Freeing a list frees its last node without a look at the node's reference count, though the handle that add_timer has returned may not have been dropped yet. Dropping it then subtracts one from a word of freed memory. Budget::pause sleeps as long as the coroutine has run, so lengths are ever new, and some 20 us, so the timer often fires while add_timer still wakes the timer thread: on one core that thread runs at once.

Change: a thread of the front end keeps the deadlines and wakes coroutines through may's Blocker without a timeout, as its channels do. Nothing waits on may's timer thread, so no list is freed there, and no coroutine goes on beside the scheduler after a pause. The wait can be cancelled and then leaves nothing behind.

--- a/heronslip/src/coop.rs
+++ b/heronslip/src/coop.rs
@@ -4,6 +4,7 @@
 //! every other socket of the process from being served, and so does one that only yields: it is ready again at
 //! once. Here such a coroutine pauses for as long as it has run. Pauses of a [`Group`] follow one another, so
 //! that its busy coroutines together take at most half of the scheduler's time, however many they are.
+use crate::timer;
 use may::sync::Mutex;
 use std::sync::{LazyLock, PoisonError};
 use std::time::{Duration, Instant};
@@ -76,10 +77,6 @@
 }
 
 /// Lets other coroutines run for this time.
-///
-/// `may` goes on with a coroutine on its timer thread after a sleep. There it would hold up all timers, so it
-/// yields, which brings it back to the scheduler's thread.
 pub fn pause(duration: Duration) {
-    may::coroutine::sleep(duration);
-    may::coroutine::yield_now();
+    timer::sleep(duration);
 }
--- a/heronslip/src/lib.rs
+++ b/heronslip/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod ring;
 pub mod server;
 pub mod shutdown;
+pub mod timer;
 pub mod worker;
 
 use crate::core::{Core, SharedState};
@@ -46,6 +47,7 @@
 pub fn run(config: Config, signals: signal_hook::iterator::Signals) -> Result<(), String> {
     let limits = Arc::new(config.limits);
     net::configure_scheduler(&limits);
+    timer::start();
     let (queue, inbox) = mpsc::channel();
     let shared = Arc::new(SharedState::default());
     let context = ServerContext {
