Receive KServe jobs from a queue whose timeouts stay on the scheduler

When that timed out, the coroutine went on on may's timer thread (a program with may alone: thread 3 before, thread 2 after), closed its idle socket there and waited there for the next job, beside the scheduler's thread, which uses the same sockets' data without a lock. Found by reading all uses of may; no crash was traced to it.

Sockets keep may's timeouts: its selector fires them on the scheduler's thread, and their lengths are settings.

--- a/heronslip/src/lib.rs
+++ b/heronslip/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod messages;
 pub mod net;
 pub mod outbox;
+pub mod queue;
 pub mod ring;
 pub mod server;
 pub mod shutdown;
--- a/heronslip/src/timer.rs
+++ b/heronslip/src/timer.rs
@@ -58,6 +58,11 @@
     pub fn wake(&self) {
         self.0.unpark();
     }
+
+    /// Whether this is the waker of that wait.
+    pub fn wakes(&self, sleeper: &Sleeper) -> bool {
+        Arc::ptr_eq(&self.0, &sleeper.blocker)
+    }
 }
 
 /// The deadline of a wait, and a number that tells it from others with the same deadline.
--- a/heronslip/src/worker/kserve.rs
+++ b/heronslip/src/worker/kserve.rs
@@ -7,12 +7,12 @@
 use crate::limits::Limits;
 use crate::messages::{AttemptKey, AttemptReport, Payload, Request};
 use crate::net::{is_timeout, spawn};
+use crate::queue::{queue, ReceiveError, Receiver, Sender};
 use crate::ring::RingBuffer;
 use base64::{engine::general_purpose::STANDARD, Engine};
 use heronslip_policy::json::{array, as_object, as_str, object, parse, string, unsigned};
 use heronslip_policy::{FunctionId, Micros, Outcome};
 use may::net::TcpStream;
-use may::sync::mpmc::{channel, Receiver, Sender};
 use miniserde::json::{self, Array, Number, Object, Value};
 use std::io::Write;
 use std::net::SocketAddr;
@@ -137,7 +137,7 @@
 impl KserveTransport {
     /// Creates a transport. Connections are opened when they are needed.
     pub fn new(address: SocketAddr, limits: Arc<Limits>, reports: ReportSender) -> Self {
-        let (jobs, queue) = channel();
+        let (jobs, queue) = queue();
         let (state, cancel_flags) = (Arc::default(), Vec::new());
         KserveTransport { address, limits, reports, state, jobs, queue, cancel_flags }
     }
@@ -153,7 +153,7 @@
         let deadline = Instant::now() + Duration::from_micros(budget);
         let pending = self.state.pending.fetch_add(1, Ordering::AcqRel) + 1;
         // If no connection takes the job, the core's timer ends it.
-        let _ = self.jobs.send(Job { kind, bytes, cancelled, epoch, condition, deadline });
+        self.jobs.send(Job { kind, bytes, cancelled, epoch, condition, deadline });
         let connections = self.state.connections.load(Ordering::Acquire);
         if pending > connections && connections < self.limits.connections_per_kserve_worker {
             self.state.connections.fetch_add(1, Ordering::AcqRel);
@@ -283,15 +283,15 @@
 impl Connection {
     fn run(mut self, queue: &Receiver<Job>) {
         loop {
-            match queue.recv_timeout(self.limits.worker_idle_timeout) {
+            match queue.receive_within(self.limits.worker_idle_timeout) {
                 Ok(job) => {
                     self.run_job(&job);
                     self.state.pending.fetch_sub(1, Ordering::AcqRel);
                 }
                 // Closing an idle connection before the worker does keeps an attempt from crossing the
                 // worker's close.
-                Err(std::sync::mpsc::RecvTimeoutError::Timeout) => self.stream = None,
-                Err(std::sync::mpsc::RecvTimeoutError::Disconnected) => return,
+                Err(ReceiveError::TimedOut) => self.stream = None,
+                Err(ReceiveError::Closed) => return,
             }
         }
     }
