--- a/heronslip/tests/common/mod.rs
+++ b/heronslip/tests/common/mod.rs
@@ -26,7 +26,9 @@
 //!                                           cannot be read) and sends SIGHUP
 //!     wait MS
 #![allow(dead_code)]
+pub mod cores;
 pub mod discovery_server;
+pub mod shim;
 pub mod stand_ins;
 
 use base64::{engine::general_purpose::STANDARD, Engine};
--- a/heronslip/tests/common/stand_ins.rs
+++ b/heronslip/tests/common/stand_ins.rs
@@ -9,6 +9,24 @@
 /// Starts a worker that serves every call with the call's own body, and replies to other commands as if every
 /// function had a loaded copy. Returns its address and the number of calls that it has received.
 pub fn counting_worker() -> (SocketAddr, Arc<AtomicUsize>) {
+    start_worker(serve)
+}
+
+/// Starts a worker that replies to every call with an error, and to other commands as if every function had a
+/// loaded copy. Returns its address.
+pub fn failing_worker() -> SocketAddr {
+    start_worker(|command| match command.code {
+        code::CALL => Some((code::ERROR, "", &[])),
+        _ => serve(command),
+    })
+    .0
+}
+
+/// The reply to a command: its code, fields and body.
+type Reply<'a> = (u8, &'static str, &'a [u8]);
+
+/// Starts a worker that replies so. Returns its address and the number of calls that it has received.
+fn start_worker(reply: fn(&CommandFrame) -> Option<Reply<'_>>) -> (SocketAddr, Arc<AtomicUsize>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = listener.local_addr().expect("bound");
     let calls = Arc::<AtomicUsize>::default();
@@ -16,20 +34,17 @@
     std::thread::spawn(move || {
         for stream in listener.incoming().map_while(Result::ok) {
             let call_count = call_count.clone();
-            std::thread::spawn(move || serve(stream, &call_count));
+            std::thread::spawn(move || answer_commands(stream, reply, &call_count));
         }
     });
     (address, calls)
 }
 
-fn serve(mut stream: TcpStream, calls: &AtomicUsize) {
+fn answer_commands(
+    mut stream: TcpStream, reply: fn(&CommandFrame) -> Option<Reply<'_>>, calls: &AtomicUsize,
+) {
     while let Ok(command) = CommandFrame::read(&mut stream) {
-        let (reply_code, fields, body) = match command.code {
-            code::CALL => (code::OK, "detail=resident", &command.body[..]),
-            code::PROBE | code::ALTERNATIVE_PROBE => (code::ACCEPTING, "", &[][..]),
-            code::LOAD => (code::OK, "slots_up=1", &[][..]),
-            _ => continue,
-        };
+        let Some((reply_code, fields, body)) = reply(&command) else { continue };
         calls.fetch_add(usize::from(command.code == code::CALL), Ordering::AcqRel);
         if stream.write_all(&reply_frame(reply_code, command.id, fields, body)).is_err() {
             return;
@@ -37,6 +52,15 @@
     }
 }
 
+fn serve(command: &CommandFrame) -> Option<Reply<'_>> {
+    match command.code {
+        code::CALL => Some((code::OK, "detail=resident", &command.body)),
+        code::PROBE | code::ALTERNATIVE_PROBE => Some((code::ACCEPTING, "", &[])),
+        code::LOAD => Some((code::OK, "slots_up=1", &[])),
+        _ => None,
+    }
+}
+
 /// Starts a [`counting_worker`] whose calls need not be counted.
 pub fn serving_worker() -> SocketAddr {
     counting_worker().0
--- a/heronslip/tests/heap.rs
+++ b/heronslip/tests/heap.rs
@@ -1,9 +1,10 @@
 //! The heap stays intact: nothing writes to memory that has been freed.
+mod common;
+
+use common::cores::on_one_core;
 use heronslip::coop;
 use heronslip::limits::Limits;
 use heronslip::net;
-use nix::sched::{sched_getaffinity, sched_setaffinity, CpuSet};
-use nix::unistd::Pid;
 use std::alloc::{GlobalAlloc, Layout, System};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{mpsc, Mutex, PoisonError};
@@ -63,38 +64,29 @@
     damaged: AtomicUsize::new(0),
 };
 
-/// Binds this thread, and those that it starts, to one core, as a front end has.
-fn use_one_core() {
-    let this_thread = Pid::from_raw(0);
-    let allowed = sched_getaffinity(this_thread).expect("the allowed cores");
-    let core = (0..CpuSet::count()).find(|&core| allowed.is_set(core).expect("in range")).expect("a core");
-    let mut one = CpuSet::new();
-    one.set(core).expect("in range");
-    sched_setaffinity(this_thread, &one).expect("bound");
-}
-
 /// Guards against a heap corrupted by `may`: a timer of a length not used before is freed before its last use.
 #[test]
 fn pauses_of_many_lengths_do_not_write_to_freed_memory() {
     const COROUTINES: u64 = 4;
     const PAUSES: u64 = 10_000;
     const MAX_PAUSE_NS: u64 = 20_000;
-    use_one_core();
     let limits = Limits::new(192, 256, &heronslip_policy::Settings::default());
     net::configure_scheduler(&limits);
     let (done, finished) = mpsc::channel();
-    for coroutine in 0..COROUTINES {
-        let done = done.clone();
-        let pauses = move || {
-            for pause in 0..PAUSES {
-                // Every length below the maximum once, in an order without a pattern.
-                let length = (pause * COROUTINES + coroutine) * 7_919 % MAX_PAUSE_NS;
-                coop::pause(Duration::from_nanos(length));
-            }
-            done.send(()).expect("the test waits");
-        };
-        net::spawn(limits.coroutine_stack, pauses).expect("a coroutine");
-    }
+    on_one_core(|| {
+        (0..COROUTINES).for_each(|coroutine| {
+            let done = done.clone();
+            let pauses = move || {
+                for pause in 0..PAUSES {
+                    // Every length below the maximum once, in an order without a pattern.
+                    let length = (pause * COROUTINES + coroutine) * 7_919 % MAX_PAUSE_NS;
+                    coop::pause(Duration::from_nanos(length));
+                }
+                done.send(()).expect("the test waits");
+            };
+            net::spawn(limits.coroutine_stack, pauses).expect("a coroutine");
+        })
+    });
     for _ in 0..COROUTINES {
         finished.recv().expect("all coroutines end");
     }
--- a/heronslip/tests/system_calls.rs
+++ b/heronslip/tests/system_calls.rs
@@ -1,26 +1,15 @@
 //! Transient failures of system calls, as documented for Linux, injected by the shim.
 mod common;
 
+use common::shim::build_shim;
 use common::stand_ins::{counting_worker, serving_worker};
 use common::{connect, fastcgi_call, read_fastcgi_response, ProgramConfig, TestProgram, TIMEOUT};
 use heronslip_shim_control::{ControlFile, FailureRates, SystemCall, CONTROL_VARIABLE, SYSTEM_CALLS};
 use std::io::Write;
 use std::path::PathBuf;
-use std::process::Command;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
 
-/// Builds the shim, and returns the path of its library.
-fn build_shim() -> PathBuf {
-    let target = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join("shim");
-    let build = Command::new(env!("CARGO"))
-        .args(["build", "--quiet", "--locked", "-p", "heronslip-shim", "--target-dir"])
-        .arg(&target)
-        .status();
-    assert!(build.expect("cargo runs").success());
-    target.join("debug/libheronslip_shim.so")
-}
-
 /// Failure rates in thousandths: these for the given system calls, 0 for all others.
 fn rates(given: &[(SystemCall, u32)]) -> FailureRates {
     let mut rates = [0; SYSTEM_CALLS.len()];
--- a/shim/src/lib.rs
+++ b/shim/src/lib.rs
@@ -1,5 +1,5 @@
 //! A library for `LD_PRELOAD` that injects system call failures, as Linux documents them, and wall clock
-//! steps into one process.
+//! steps into one process, and checks its heap.
 //!
 //! The fault injection tool preloads it into the front ends that it starts and into nothing else. Both map
 //! the control file that `HERONSLIP_SHIM_CONTROL` names: the tool writes there what is to fail and how often,
@@ -7,3 +7,4 @@
 #![warn(missing_docs)]
 
 mod calls;
+mod heap;
