Drop the timers of requests that have ended before they are due

Clients that take their requests back at once drove memory over its limit: the core's timers could not be removed, so each request left some 150 bytes until its deadline.

Once there are 1,024 timers, and then whenever they have doubled, those whose request, attempt, command or probe has ended are dropped, which costs a constant time for each timer set. A timer that is dropped had no effect when it fired, so decisions stay as they are.

--- a/heronslip/src/core/mod.rs
+++ b/heronslip/src/core/mod.rs
@@ -187,9 +187,29 @@
                 self.handle_timer(timer);
                 self.run_controller();
             }
+            if self.timers.should_prune() {
+                self.prune_timers();
+            }
         }
     }
 
+    /// Removes the timers whose request, attempt or command has ended.
+    fn prune_timers(&mut self) {
+        let (requests, commands, probes) = (&self.requests, &self.load_commands, &self.probes);
+        let controller = &self.controller;
+        self.timers.prune(|timer| match timer {
+            Timer::Controller(token) => controller.needs_timer(*token),
+            Timer::AttemptTimeout(key) => {
+                let attempt = requests.get(&key.request).and_then(|open| open.attempts.get(key.attempt));
+                attempt.is_some_and(|attempt| attempt.open)
+            }
+            Timer::LoadTimeout(command) => commands.contains_key(command),
+            Timer::ProbeTimeout(probe) => probes.contains_key(probe),
+            Timer::RequestDeadline(id) => requests.get(id).is_some_and(|open| !open.answered),
+            Timer::LivenessCheck | Timer::Sweep => true,
+        });
+    }
+
     fn handle_message(&mut self, message: Message) {
         match message {
             Message::Request { request, client, tag } => self.accept_request(request, client, tag),
--- a/heronslip/src/core/timers.rs
+++ b/heronslip/src/core/timers.rs
@@ -1,5 +1,5 @@
-//! The core's timers in one heap. Timers cannot be cancelled: those no longer needed are ignored when they
-//! fire.
+//! The core's timers in one heap. Those no longer needed are ignored when they fire, and are removed before
+//! where there are many.
 use crate::messages::AttemptKey;
 use heronslip_policy::Micros;
 use std::cmp::Reverse;
@@ -9,6 +9,9 @@
 /// Longest wait for the next timer, also if none is scheduled.
 const MAX_SLEEP: Duration = Duration::from_millis(500);
 
+/// Fewer timers than this are not looked through for those no longer needed.
+const MIN_PRUNED: usize = 1_024;
+
 /// What a timer is for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Timer {
@@ -33,6 +36,8 @@
 pub struct Timers {
     heap: BinaryHeap<Reverse<(Micros, u64, Timer)>>,
     last_sequence: u64,
+    /// Timers that were left when they were last pruned.
+    left_by_pruning: usize,
 }
 
 impl Timers {
@@ -42,6 +47,18 @@
         self.heap.push(Reverse((at, self.last_sequence, timer)));
     }
 
+    /// Whether there are so many timers that [`Timers::prune`] is worth its cost: twice as many as it left.
+    pub fn should_prune(&self) -> bool {
+        self.heap.len() >= MIN_PRUNED.max(2 * self.left_by_pruning)
+    }
+
+    /// Removes the timers that are no longer needed, and releases their memory.
+    pub fn prune(&mut self, is_needed: impl Fn(&Timer) -> bool) {
+        self.heap.retain(|Reverse((_, _, timer))| is_needed(timer));
+        self.left_by_pruning = self.heap.len();
+        self.heap.shrink_to(MIN_PRUNED.max(2 * self.left_by_pruning));
+    }
+
     /// Removes and returns the next timer that is due.
     pub fn pop_due(&mut self, now: Micros) -> Option<Timer> {
         match self.heap.peek() {
--- a/heronslip/tests/memory.rs
+++ b/heronslip/tests/memory.rs
@@ -36,10 +36,10 @@
     fastcgi_request(1, &[("SCRIPT_NAME", "/v1/tile-render")], b"").repeat(500)
 }
 
-/// Requests that are taken back at once.
-fn aborted_requests() -> Vec<u8> {
+/// Requests that are taken back at once, with this wait in ms.
+fn aborted_requests(wait: &str) -> Vec<u8> {
     const ABORT_REQUEST: u8 = 2;
-    let request = fastcgi_call(1, "00000000000000a1", "9000", "x");
+    let request = fastcgi_call(1, "00000000000000a1", wait, "x");
     [request, fastcgi_record(ABORT_REQUEST, 1, &[])].concat().repeat(200)
 }
 
@@ -48,7 +48,8 @@
 #[rstest]
 #[case::unknown_records(unknown_records())]
 #[case::requests_without_an_id(requests_without_an_id())]
-#[case::aborted_requests(aborted_requests())]
+#[case::aborted_requests(aborted_requests("9000"))]
+#[case::aborted_requests_that_might_wait_long(aborted_requests("600000"))]
 fn clients_at_full_speed_stay_within_the_memory_limit(#[case] messages: Vec<u8>) {
     const MEMORY_MB: u64 = 32;
     const CLIENTS: usize = 12;
--- a/src/control.rs
+++ b/src/control.rs
@@ -114,6 +114,11 @@
         }
     }
 
+    /// Whether the timer with this token still has an effect when it fires.
+    pub fn needs_timer(&self, token: u64) -> bool {
+        token == PERIODIC_TIMER || self.requests.get(&(token >> 1)).is_some_and(|request| !request.done)
+    }
+
     /// Handles an update of the worker list.
     pub(crate) fn on_worker_list(
         &mut self, now: Micros, full: bool, entries: Vec<WorkerEntry>, out: &mut Vec<Action>,
