Listen for signals before a soak starts its front ends

SIGINT just after the first front end was started ended the soak at once and left its front ends running. The handlers were installed by a branch of `select!`, which may poll the run first, so the signal could come before. The run of real front ends had the same shape.

Both now listen before they start anything, and a signal between two seeds is not lost either. A failure to install the handlers is an error; it was passed over.

--- a/scale/src/lib.rs
+++ b/scale/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod catalogue;
 pub mod experiment;
 pub mod fleet;
+mod interrupt;
 pub mod node;
 pub mod report;
 pub mod soak;
--- a/scale/src/node/mod.rs
+++ b/scale/src/node/mod.rs
@@ -14,5 +14,4 @@
 mod workers;
 
 pub use deploy::{settings, Deploy, DeployError};
-pub(crate) use run::interrupted;
 pub use run::{run, NodeError};
--- a/scale/src/node/run.rs
+++ b/scale/src/node/run.rs
@@ -8,6 +8,7 @@
 use crate::catalogue::Catalogue;
 use crate::experiment::Experiment;
 use crate::fleet::calls::{CallRecord, CallStatistics, DurationHistogram};
+use crate::interrupt::Interrupt;
 use crate::report::{CallReport, ExperimentSize, Machine, NodeControl, NodeFrontEnd, NodeReport};
 use crate::time::{milliseconds, seconds, RealClock};
 use crate::world::{Change, Schedule, ScheduledChange, WorkerList, World};
@@ -68,10 +69,11 @@
 pub async fn run(
     experiment: &Experiment, settings: Settings, settings_json: &Object, deploy: &Deploy,
 ) -> Result<NodeReport, NodeError> {
+    let mut interrupt = Interrupt::listen().map_err(system("cannot listen for signals"))?;
     let mut front_ends = Vec::new();
     let result = tokio::select! {
         result = run_experiment(experiment, settings, settings_json, deploy, &mut front_ends) => result,
-        () = interrupted() => Err(NodeError::Interrupted),
+        () = interrupt.received() => Err(NodeError::Interrupted),
     };
     for front_end in &mut front_ends {
         front_end.process.kill().await;
@@ -79,20 +81,6 @@
     result
 }
 
-/// Waits for SIGINT or SIGTERM.
-pub(crate) async fn interrupted() {
-    use tokio::signal::unix::{signal, SignalKind};
-    let (Ok(mut interrupt), Ok(mut terminate)) =
-        (signal(SignalKind::interrupt()), signal(SignalKind::terminate()))
-    else {
-        return std::future::pending().await;
-    };
-    tokio::select! {
-        _ = interrupt.recv() => {}
-        _ = terminate.recv() => {}
-    }
-}
-
 /// A front end of the run.
 struct RunningFrontEnd {
     process: FrontEndProcess,
--- a/scale/src/soak/run.rs
+++ b/scale/src/soak/run.rs
@@ -10,6 +10,7 @@
 use super::scenario::{Fault, Scenario};
 use super::violation_trace::violation_trace;
 use super::worker::{self, Worker, WorkerStatus};
+use crate::interrupt::Interrupt;
 use crate::node::clients::is_ready;
 use crate::node::usage::Usage;
 use crate::node::{Deploy, DeployError};
@@ -128,6 +129,7 @@
     if !options.shim.is_file() {
         return Err(SoakError::NoShim(options.shim.clone()));
     }
+    let mut interrupt = Interrupt::listen()?;
     let mut violations = 0;
     for seed in options.seeds.clone() {
         let scenario = Scenario::draw(&options.config, seed);
@@ -135,7 +137,7 @@
         let run = Arc::new(Run::set_up(options, scenario, &directory).await?);
         let report = tokio::select! {
             report = run.clone().execute(options) => report,
-            () = crate::node::interrupted() => Err(SoakError::Interrupted),
+            () = interrupt.received() => Err(SoakError::Interrupted),
         };
         // The front ends must have exited before this function returns, also after an error or interrupt.
         run.kill_all().await;
