Flood front ends in the soak, each bound to one core

Now one to four clients send blocks of short requests as fast as they are answered, for one to six seconds, and close with answers unread, and a front end has one core, as its configuration says.

Floods are drawn last, so the other faults of a seed stay as they were.

--- a/scale/src/soak/config.rs
+++ b/scale/src/soak/config.rs
@@ -79,6 +79,8 @@
     pub moves: u32,
     /// Bursts of misbehaving clients.
     pub crowds: u32,
+    /// Floods of short requests by a few clients.
+    pub floods: u32,
 }
 
 // These bounds keep a soak under a few hundred processes and half of the machine's resources.
--- a/scale/src/soak/mod.rs
+++ b/scale/src/soak/mod.rs
@@ -7,7 +7,9 @@
 pub mod checker;
 mod clients;
 pub mod config;
+mod core_binding;
 mod discovery_server;
+mod flood;
 mod network;
 mod process;
 pub mod record;
--- a/scale/src/soak/process.rs
+++ b/scale/src/soak/process.rs
@@ -1,4 +1,5 @@
 //! A front-end process under test: its start, signals, log and exit.
+use super::core_binding::CoreBinding;
 use crate::node::Deploy;
 use nix::sys::signal::{kill, Signal as SystemSignal};
 use nix::unistd::Pid;
@@ -38,8 +39,8 @@
 pub struct LaunchOptions<'a> {
     /// The deploy file, whose `run` is the command.
     pub deploy: &'a Deploy,
-    /// The front end's name.
-    pub name: String,
+    /// The front end's number, by which it is named and bound to a core.
+    pub number: usize,
     /// The address on which it listens.
     pub listen: SocketAddr,
     /// Its configuration file.
@@ -60,11 +61,12 @@
     /// # Errors
     /// Fails if the process cannot be started.
     pub fn start(options: LaunchOptions<'_>, log: &LogTail) -> io::Result<FrontEndProcess> {
+        let binding = CoreBinding::new(options.number)?;
         let mut child = Command::new("/bin/sh")
             .args(["-c", &options.deploy.command])
             .current_dir(&options.deploy.working_directory)
             .env("NODE_CONFIG", options.config)
-            .env("NODE_NAME", &options.name)
+            .env("NODE_NAME", format!("n{}", options.number))
             .env("NODE_LISTEN", options.listen.to_string())
             .envs(options.environment)
             .stdin(Stdio::null())
@@ -72,6 +74,7 @@
             .stderr(Stdio::piped())
             .kill_on_drop(true)
             .spawn()?;
+        drop(binding);
         let pid = child.id().and_then(|id| i32::try_from(id).ok()).unwrap_or(0);
         let stderr = child
             .stderr
--- a/scale/src/soak/run.rs
+++ b/scale/src/soak/run.rs
@@ -4,6 +4,7 @@
 use super::clients::{self, bad_client, Class, Clients, ConnectGate};
 use super::config::{ConfigError, SoakConfig};
 use super::discovery_server::{Change, DiscoveryServer};
+use super::flood::flood;
 use super::network;
 use super::process::{FrontEndProcess, LaunchOptions, LogTail};
 use super::record::{Command, Event, Outage, Record, Recorder, Response, Signal, WorkerState};
@@ -333,7 +334,7 @@
         self.recorder.record(Event::FrontEndStarted { front_end: number, version });
         let options = LaunchOptions {
             deploy: &self.deploy,
-            name: format!("n{number}"),
+            number,
             listen: front_end.listen,
             config: &front_end.config,
             environment: vec![
@@ -429,6 +430,13 @@
                     tokio::spawn(bad_client(front_end, address, self.client_settings.clone(), kind));
                 }
             }
+            Fault::Flood { front_end, clients, span } => {
+                let address = self.front_ends[front_end].listen;
+                for client in 0..clients {
+                    let seed = self.scenario.seed ^ client << 32;
+                    tokio::spawn(flood(address, Duration::from_micros(span), seed));
+                }
+            }
         }
     }
 
--- a/scale/src/soak/scenario.rs
+++ b/scale/src/soak/scenario.rs
@@ -37,6 +37,7 @@
 const CRASH_DOWNTIME_S: [f64; 2] = [0.2, 5.0];
 const HANG_TIME_S: [f64; 2] = [0.3, 6.0];
 const REJECTING_TIME_S: [f64; 2] = [0.5, 5.0];
+const FLOOD_TIME_S: [f64; 2] = [1.0, 6.0];
 
 /// A fault of a scenario.
 ///
@@ -124,6 +125,15 @@
         /// Number of clients.
         clients: usize,
     },
+    /// Clients send short requests as fast as they are answered, and close with answers unread.
+    Flood {
+        /// The front end.
+        front_end: usize,
+        /// Number of clients.
+        clients: u64,
+        /// Duration.
+        span: Micros,
+    },
 }
 
 /// The size, load and faults of one run.
@@ -215,6 +225,7 @@
             Fault::Moves { .. } => "move",
             Fault::WallStep { .. } => "step",
             Fault::Crowd { .. } => "crowd",
+            Fault::Flood { .. } => "flood",
         }
     }
 }
@@ -359,6 +370,11 @@
             front_end: sampler.rng.random_range(0..front_ends),
             seconds: config.wall_clock_offsets_s.choose(&mut sampler.rng).copied().unwrap_or(0),
         });
+        add(self, max.floods, &mut |sampler| Fault::Flood {
+            front_end: sampler.rng.random_range(0..front_ends),
+            clients: sampler.rng.random_range(1..=4),
+            span: sampler.duration(FLOOD_TIME_S),
+        });
         faults.sort_by_key(|(at, _)| *at);
         faults
     }
