Refuse requests whose parameters end within a name-value pair

A bad client got a 200 for a request whose last parameter announces more bytes than it sends: decode_pairs returned the pairs before it without a word, and the request was forwarded.

Now the stream must end between two pairs. Otherwise the request is answered with 400 and its connection goes on; a GET_VALUES record with such pairs closes the connection. A second test cuts a stream at every byte.

--- a/heronslip/src/server/fastcgi/mod.rs
+++ b/heronslip/src/server/fastcgi/mod.rs
@@ -1,7 +1,7 @@
 //! The server for the platform's clients: FastCGI 1.0, Responder role, with multiplexed requests.
 mod records;
 
-pub use records::{decode_pairs, encode_record, encode_response};
+pub use records::{decode_pairs, encode_record, encode_response, TruncatedPair};
 
 use super::{is_valid_idempotency_key, parse_id, RequestParameters, ServerContext};
 use crate::connection_limiter::{ClientActivity, ConnectionPermit};
@@ -11,7 +11,7 @@
 use crate::outbox::Outbox;
 use crate::ring::RingBuffer;
 use may::sync::Mutex;
-use records::{encode_end_request, kind, status, Record, RecordReader, KEEP_CONN, RESPONDER};
+use records::{encode_end_request, kind, status, Record, RecordReader, KEEP_CONN, RESPONDER, TRUNCATED_PAIR};
 use std::collections::HashMap;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -245,7 +245,7 @@
     fn handle_record(&mut self, record: Record<'_>) -> Result<(), String> {
         let Record { kind, id, content } = record;
         match (kind, id) {
-            (kind::GET_VALUES, 0) => self.get_values(content),
+            (kind::GET_VALUES, 0) => return self.get_values(content).map_err(|e| e.to_string()),
             (_, 0) => {
                 let mut out = Vec::new();
                 encode_record(kind::UNKNOWN_TYPE, 0, &[kind, 0, 0, 0, 0, 0, 0, 0], &mut out);
@@ -261,9 +261,9 @@
         Ok(())
     }
 
-    fn get_values(&self, content: &[u8]) {
+    fn get_values(&self, content: &[u8]) -> Result<(), TruncatedPair> {
         let mut values = Vec::new();
-        for (name, _) in decode_pairs(content) {
+        for (name, _) in decode_pairs(content)? {
             let value = match name.as_str() {
                 "FCGI_MAX_CONNS" => self.context.limits.client_connections,
                 "FCGI_MAX_REQS" => {
@@ -280,6 +280,7 @@
         let mut out = Vec::new();
         encode_record(kind::GET_VALUES_RESULT, 0, &values, &mut out);
         self.connection.outbox.send(out);
+        Ok(())
     }
 
     /// Ends a request with a protocol status and no response.
@@ -364,10 +365,13 @@
     fn complete_request(&mut self, id: u16, partial: PartialRequest) {
         let received_at = Instant::now();
         self.unassigned_discarded = 0;
-        let params: HashMap<String, String> = decode_pairs(&partial.params).into_iter().collect();
+        let close = !partial.keep_connection;
+        let Ok(pairs) = decode_pairs(&partial.params) else {
+            return self.reject(id, Rejection::Invalid(TRUNCATED_PAIR), close);
+        };
+        let params: HashMap<String, String> = pairs.into_iter().collect();
         let param = |name: &str| params.get(name).map_or("", String::as_str);
         let path = if param("SCRIPT_NAME").is_empty() { param("REQUEST_URI") } else { param("SCRIPT_NAME") };
-        let close = !partial.keep_connection;
         if path == "/healthz" {
             let ready = self.context.shared.ready.load(Ordering::Acquire);
             let status = if ready { "200 OK" } else { "503 Service Unavailable" };
--- a/heronslip/src/server/fastcgi/records.rs
+++ b/heronslip/src/server/fastcgi/records.rs
@@ -120,29 +120,45 @@
     }
 }
 
-/// Decodes the name-value pairs of a parameter stream. A truncated pair ends them.
-pub fn decode_pairs(mut bytes: &[u8]) -> Vec<(String, String)> {
-    fn decode_length(bytes: &mut &[u8]) -> Option<usize> {
-        let (&first, rest) = bytes.split_first()?;
-        if first < 0x80 {
-            *bytes = rest;
-            return Some(first.into());
-        }
-        let (long, rest) = bytes.split_first_chunk::<4>()?;
-        *bytes = rest;
-        Some((u32::from_be_bytes(*long) & 0x7fff_ffff) as usize)
-    }
+/// The reason of [`TruncatedPair`].
+pub(super) const TRUNCATED_PAIR: &str = "the parameters end within a name-value pair";
+
+/// The bytes of a parameter stream end within a name-value pair.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{TRUNCATED_PAIR}")]
+pub struct TruncatedPair;
+
+/// Decodes the name-value pairs of a complete parameter stream.
+///
+/// # Errors
+/// Fails if the last pair announces more bytes than there are.
+pub fn decode_pairs(mut bytes: &[u8]) -> Result<Vec<(String, String)>, TruncatedPair> {
     let mut pairs = Vec::new();
-    while let Some((name_len, value_len)) =
-        decode_length(&mut bytes).and_then(|name| Some((name, decode_length(&mut bytes)?)))
-    {
-        if bytes.len() < name_len.saturating_add(value_len) {
-            break;
-        }
-        let (name, rest) = bytes.split_at(name_len);
-        let (value, rest) = rest.split_at(value_len);
-        pairs.push((String::from_utf8_lossy(name).into_owned(), String::from_utf8_lossy(value).into_owned()));
-        bytes = rest;
+    while !bytes.is_empty() {
+        let name_len = take_length(&mut bytes)?;
+        let value_len = take_length(&mut bytes)?;
+        let name = take_text(&mut bytes, name_len)?;
+        let value = take_text(&mut bytes, value_len)?;
+        pairs.push((name, value));
     }
-    pairs
+    Ok(pairs)
+}
+
+/// Takes a length off the front: one byte, or four if the highest bit is set.
+fn take_length(bytes: &mut &[u8]) -> Result<usize, TruncatedPair> {
+    const LONG_LENGTH: u8 = 0x80;
+    let (&first, rest) = bytes.split_first().ok_or(TruncatedPair)?;
+    if first < LONG_LENGTH {
+        *bytes = rest;
+        return Ok(first.into());
+    }
+    let (long, rest) = bytes.split_first_chunk::<4>().ok_or(TruncatedPair)?;
+    *bytes = rest;
+    Ok((u32::from_be_bytes(*long) & 0x7fff_ffff) as usize)
+}
+
+fn take_text(bytes: &mut &[u8], len: usize) -> Result<String, TruncatedPair> {
+    let (text, rest) = bytes.split_at_checked(len).ok_or(TruncatedPair)?;
+    *bytes = rest;
+    Ok(String::from_utf8_lossy(text).into_owned())
 }
--- a/heronslip/tests/clients.rs
+++ b/heronslip/tests/clients.rs
@@ -49,6 +49,27 @@
     assert_eq!(next_request(&queue).0, b"last");
 }
 
+/// Guards against a served request of a client whose last parameter announces more bytes than it sends.
+#[rstest]
+#[case::without_a_value_length(&[4])]
+#[case::long_value(&[4, 200, b'n', b'a', b'm', b'e', b'v'])]
+#[case::huge_value(&[4, 0xff, 0xff, 0xff, 0xff, b'n', b'a', b'm', b'e', b'v'])]
+#[case::huge_name(&[0xff, 0xff, 0xff, 0xff, 1, b'n'])]
+fn a_request_whose_last_parameter_is_cut_off_fails(#[case] cut_off: &[u8]) {
+    const PARAMS: u8 = 4;
+    let (context, queue) = test_context(|_| ());
+    let mut client = connect(start_fastcgi_server(&context));
+    let request = fastcgi_call(1, "00000000000000a1", "9000", "bad");
+    let end_of_params = fastcgi_record(PARAMS, 1, &[]);
+    let end = request.windows(RECORD_HEADER).position(|w| w == end_of_params).expect("an end");
+    let cut_off = fastcgi_record(PARAMS, 1, cut_off);
+    client.write_all(&[&request[..end], &cut_off, &request[end..]].concat()).expect("written");
+    let (head, _, _) = read_fastcgi_response(&mut client).expect("a response");
+    assert_eq!(head.lines().next(), Some("Status: 400 Bad Request"));
+    client.write_all(&fastcgi_call(2, "00000000000000a2", "9000", "good")).expect("written");
+    assert_eq!(next_request(&queue).0, b"good");
+}
+
 /// A request is rejected while it is still being read. Its client stops sending it and uses its FastCGI id
 /// again.
 #[test]
--- a/heronslip/tests/codecs.rs
+++ b/heronslip/tests/codecs.rs
@@ -3,6 +3,7 @@
 use heronslip::http::{ChunkedDecoder, ChunkedItem, Head};
 use heronslip::messages::WorkerProtocol;
 use heronslip::ring::RingBuffer;
+use heronslip::server::fastcgi::decode_pairs;
 use heronslip::worker::frames::Decoder;
 use heronslip_policy::json::{as_object, parse};
 use heronslip_policy::WorkerState;
@@ -15,6 +16,17 @@
     frame
 }
 
+/// A parameter stream that is cut off anywhere but between two pairs is an error.
+#[test]
+fn cut_off_name_value_pairs_are_rejected() {
+    let long_value = "v".repeat(200);
+    let stream = [&[1, 2][..], b"nab", &[2, 0x80, 0, 0, 200], b"xy", long_value.as_bytes()].concat();
+    let pair_ends = [0, 5, stream.len()];
+    for end in 0..=stream.len() {
+        assert_eq!(decode_pairs(&stream[..end]).is_ok(), pair_ends.contains(&end), "cut off at {end}");
+    }
+}
+
 /// Frames are decoded however the stream is split, also where they wrap around the end of the ring buffer.
 #[rstest]
 fn split_frames_are_decoded(#[values(1, 3, 7, 50)] piece_length: usize) {
