End the process if its timer thread panics, and split the thread's loop

Without that thread every paused coroutine would wait forever, and the process would look alive. Tests of timed waits and of the heap pass.

--- a/heronslip/src/timer.rs
+++ b/heronslip/src/timer.rs
@@ -5,6 +5,8 @@
 //! `may`'s timer thread, beside the scheduler, and free a timer while a handle to it is still in use.
 use may::sync::Blocker;
 use std::collections::BTreeMap;
+use std::convert::Infallible;
+use std::panic::AssertUnwindSafe;
 use std::sync::{Arc, Condvar, LazyLock, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -79,15 +81,29 @@
 #[derive(Default)]
 struct Pending {
     waits: BTreeMap<TimerKey, Arc<Blocker>>,
+    /// Number of the last wait.
     last_number: u64,
 }
 
+impl Pending {
+    /// Removes and returns the waits whose deadline has passed.
+    fn take_due(&mut self, now: Instant) -> BTreeMap<TimerKey, Arc<Blocker>> {
+        let later = self.waits.split_off(&(now, u64::MAX));
+        std::mem::replace(&mut self.waits, later)
+    }
+}
+
 impl Timers {
     /// Starts the thread that wakes the coroutines.
     fn start() -> Arc<Timers> {
         let timers = Arc::<Timers>::default();
         let run = timers.clone();
-        let thread = std::thread::Builder::new().name("timers".to_owned()).spawn(move || run.run());
+        // A front end whose coroutines are no longer woken must not continue.
+        let run_or_abort = move || match std::panic::catch_unwind(AssertUnwindSafe(|| run.run())) {
+            Ok(never) => never,
+            Err(_) => std::process::abort(),
+        };
+        let thread = std::thread::Builder::new().name("timers".to_owned()).spawn(run_or_abort);
         thread.expect("the timer thread starts");
         timers
     }
@@ -115,27 +131,31 @@
         drop(wait); // outside of the lock
     }
 
-    fn run(&self) {
+    /// Wakes each coroutine at its deadline, forever.
+    fn run(&self) -> Infallible {
         let mut pending = self.lock();
         loop {
             let now = Instant::now();
-            let mut later = pending.waits.split_off(&(now, u64::MAX));
-            std::mem::swap(&mut pending.waits, &mut later);
-            let due = later;
-            if !due.is_empty() {
-                drop(pending);
-                due.into_values().for_each(|blocker| blocker.unpark());
-                pending = self.lock();
+            let due = pending.take_due(now);
+            if due.is_empty() {
+                pending = self.wait_for_next(pending, now);
                 continue;
             }
-            let next = pending.waits.first_key_value().map(|(&(deadline, _), _)| deadline);
-            pending = match next {
-                None => self.earlier.wait(pending).unwrap_or_else(PoisonError::into_inner),
-                Some(deadline) => {
-                    let waited = self.earlier.wait_timeout(pending, deadline - now);
-                    waited.unwrap_or_else(PoisonError::into_inner).0
-                }
-            };
+            drop(pending);
+            due.into_values().for_each(|blocker| blocker.unpark());
+            pending = self.lock();
+        }
+    }
+
+    /// Waits until the earliest deadline, or until there is an earlier one.
+    fn wait_for_next<'a>(&self, pending: MutexGuard<'a, Pending>, now: Instant) -> MutexGuard<'a, Pending> {
+        let earliest = pending.waits.first_key_value().map(|(&(deadline, _), _)| deadline);
+        match earliest {
+            None => self.earlier.wait(pending).unwrap_or_else(PoisonError::into_inner),
+            Some(deadline) => {
+                let waited = self.earlier.wait_timeout(pending, deadline.saturating_duration_since(now));
+                waited.unwrap_or_else(PoisonError::into_inner).0
+            }
         }
     }
 }
