--- a/heronslip/src/timer.rs
+++ b/heronslip/src/timer.rs
@@ -19,7 +19,7 @@
 }
 
 /// One wait of the current coroutine, or thread, for whichever comes first: its deadline or
-/// [`Sleeper::wake`].
+/// [`Waker::wake`].
 pub struct Sleeper {
     blocker: Arc<Blocker>,
     key: TimerKey,
