--- a/heronslip/tests/common/mod.rs
+++ b/heronslip/tests/common/mod.rs
@@ -26,6 +26,7 @@
 //!                                           cannot be read) and sends SIGHUP
 //!     wait MS
 #![allow(dead_code)]
+pub mod bad_clients;
 pub mod cores;
 pub mod discovery_server;
 pub mod shim;
@@ -576,7 +577,7 @@
 }
 
 /// Reads one FastCGI response: its head and body, and the protocol status.
-pub fn read_fastcgi_response(stream: &mut TcpStream) -> std::io::Result<(String, Vec<u8>, u8)> {
+pub fn read_fastcgi_response(stream: &mut impl Read) -> std::io::Result<(String, Vec<u8>, u8)> {
     let mut out = Vec::new();
     loop {
         let header = read_exactly(stream, 8)?;
