Bound the memory of all clients by one budget, with a part for each connection

Callers saw a front end killed over its memory limit, and no answer to what it had taken, when hundreds of clients stopped half way through large requests or sent heads of very many short fields.

Cause: the budget counted the content of parameters, bodies and responses alone. Not counted were a record of up to 64 KiB while it arrived (and its buffer afterwards), the spare room of vectors, two stacks and two buffers a connection, the decoded form of a head (100 bytes for a pair of three), a second copy of the body in the attempt's frame, and responses of up to 8 KiB a connection that were queued without room. 409 connections were allowed at any memory.

Change: memory.rs, a budget with accounts: each connection has a guaranteed part, the rest is shared. If the shared part is used up, the connection that holds most for requests read in part gives them up (OVERLOADED), unless the asking one would hold more. A request reserves room for its response before the core gets it. Records are passed on as they arrive, pairs are decoded one by one, responses are written at once where the socket has room, and a writer runs only while something waits. memory_shares.rs shares the limit out, so that connections follow from memory and descriptors. KServe v2 requests draw on the same budget.

Tests: responses_are_sent_while_requests_exhaust_the_memory_budget sets no guarantee and a larger budget, since requests count with all their memory now; its responses are larger than what is left. a_permit_is_held_until_its_connection_is_closed raises the limit on unread bytes: the socket takes the first responses without a queue, so the client is further ahead when the queue begins. Both guard what they did.

--- a/heronslip/src/connection_limiter.rs
+++ b/heronslip/src/connection_limiter.rs
@@ -1,10 +1,12 @@
 //! The limit on client connections, and what each of them is doing.
 use crate::limits::Limits;
+use crate::memory::{Account, MemoryBudget, Reservation};
 use crate::net::next_connection_id;
 use crate::outbox::Outbox;
 use may::sync::Mutex;
 use std::collections::BTreeMap;
-use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Weak};
 use std::time::Instant;
 
 /// When the limit on client connections is reached, this fraction (1/16) of the limit is closed at a time.
@@ -15,6 +17,14 @@
 pub struct ConnectionLimiter {
     connections: Arc<Mutex<BTreeMap<u64, Arc<ClientActivity>>>>,
     limit: usize,
+    memory_budget: MemoryBudget,
+    guaranteed_memory: usize,
+}
+
+/// A connection that can give up the requests that it has read in part.
+pub trait RejectIncomplete: Send + Sync {
+    /// Rejects all requests that have been read in part, and releases their memory.
+    fn reject_incomplete(&self);
 }
 
 /// What a client connection is doing.
@@ -34,7 +44,17 @@
 pub struct ClientActivity {
     /// The connection's id, unique in the process.
     pub connection_id: u64,
-    state: Mutex<(Activity, Option<Outbox>)>,
+    /// Memory of its requests and unsent responses.
+    pub account: Arc<Account>,
+    /// Memory of requests that have been read in part, in bytes.
+    incomplete_bytes: AtomicUsize,
+    state: Mutex<(Activity, Option<ServerSide>)>,
+}
+
+/// The server's side of a connection, through which the limiter can act on it.
+struct ServerSide {
+    outbox: Outbox,
+    requests: Weak<dyn RejectIncomplete>,
 }
 
 impl ClientActivity {
@@ -44,13 +64,19 @@
         }
     }
 
-    /// Sets the sending side, through which the limiter can close the connection.
-    pub fn set_outbox(&self, outbox: &Outbox) {
+    /// Sets the server's side, through which the limiter can close the connection, or have it give up the
+    /// requests that it has read in part.
+    pub fn set_server_side(&self, outbox: &Outbox, requests: Weak<dyn RejectIncomplete>) {
         if let Ok(mut state) = self.state.lock() {
-            state.1 = Some(outbox.clone());
+            state.1 = Some(ServerSide { outbox: outbox.clone(), requests });
         }
     }
 
+    /// Records the memory of the requests that have been read in part, in bytes.
+    pub fn set_incomplete_bytes(&self, bytes: usize) {
+        self.incomplete_bytes.store(bytes, Ordering::Relaxed);
+    }
+
     /// Records that a request was passed to the core.
     pub fn request_opened(&self) {
         self.update(|activity| activity.open_requests += 1);
@@ -93,9 +119,14 @@
 }
 
 impl ConnectionLimiter {
-    /// A limiter of `limit` connections.
-    pub fn new(limit: usize) -> Self {
-        ConnectionLimiter { connections: Arc::default(), limit }
+    /// A limiter of the client connections, whose requests and responses draw on this budget.
+    pub fn new(limits: &Limits, memory_budget: &MemoryBudget) -> Self {
+        ConnectionLimiter {
+            connections: Arc::default(),
+            limit: limits.client_connections,
+            memory_budget: memory_budget.clone(),
+            guaranteed_memory: limits.guaranteed_per_connection,
+        }
     }
 
     /// A permit for a new connection; `None` at the limit.
@@ -111,7 +142,12 @@
             reading_request: false,
         };
         let state = Mutex::new((activity, None));
-        let activity = Arc::new(ClientActivity { connection_id: next_connection_id(), state });
+        let activity = Arc::new(ClientActivity {
+            connection_id: next_connection_id(),
+            account: self.memory_budget.open_account(self.guaranteed_memory),
+            incomplete_bytes: AtomicUsize::new(0),
+            state,
+        });
         connections.insert(activity.connection_id, activity.clone());
         Some(ConnectionPermit { limiter: self.clone(), activity })
     }
@@ -129,7 +165,7 @@
             let activity = state.0;
             // A partly read request counts as a common client's if the connection had a valid request before.
             let in_use = activity.open_requests > 0 || activity.reading_request && activity.had_valid_request;
-            let outbox = state.1.clone().filter(|_| !in_use)?;
+            let outbox = state.1.as_ref().filter(|_| !in_use)?.outbox.clone();
             Some(((activity.had_valid_request, activity.reading_request, activity.idle_since), outbox))
         };
         let mut idle: Vec<_> = connections.values().filter_map(idle).collect();
@@ -139,6 +175,41 @@
         idle.iter().for_each(|(_, outbox)| outbox.close());
         any_new || !idle.is_empty()
     }
+
+    /// Changes a reservation of this connection, if need be at the cost of a connection that holds more memory
+    /// for requests that it has read in part. Whoever sends little, or all of it at once, goes before those
+    /// who keep much waiting. Returns false, and changes nothing, if there is no room.
+    pub fn resize(&self, connection: &ClientActivity, reservation: &mut Reservation, bytes: usize) -> bool {
+        while !reservation.resize(bytes) {
+            if !self.make_room(connection, bytes.saturating_sub(reservation.bytes())) {
+                return false;
+            }
+        }
+        true
+    }
+
+    /// Rejects what the connection that holds most for requests read in part has of them, if that is more than
+    /// this connection would hold with `bytes` more. Returns whether there is such a connection.
+    pub fn make_room(&self, connection: &ClientActivity, bytes: usize) -> bool {
+        let wanted = connection.account.held() + bytes;
+        let largest = self.largest_incomplete(connection.connection_id, wanted);
+        let found = largest.is_some();
+        largest.into_iter().for_each(|largest| largest.reject_incomplete());
+        found
+    }
+
+    /// The connection other than this one that holds most memory for requests read in part, if that is more
+    /// than `bytes`.
+    fn largest_incomplete(&self, except: u64, bytes: usize) -> Option<Arc<dyn RejectIncomplete>> {
+        let connections = self.connections.lock().ok()?;
+        let incomplete = |a: &Arc<ClientActivity>| a.incomplete_bytes.load(Ordering::Relaxed);
+        let others = connections.values().filter(|a| a.connection_id != except && incomplete(a) > bytes);
+        let largest = others.max_by_key(|a| incomplete(a))?.clone();
+        drop(connections);
+        largest.set_incomplete_bytes(0); // it is given up now, and must not be found again
+        let state = largest.state.lock().ok()?;
+        state.1.as_ref()?.requests.upgrade()
+    }
 }
 
 /// The permit of one client connection. Dropping it releases it.
@@ -150,6 +221,7 @@
 
 impl Drop for ConnectionPermit {
     fn drop(&mut self) {
+        self.activity.account.close();
         if let Ok(mut connections) = self.limiter.connections.lock() {
             connections.remove(&self.activity.connection_id);
         }
--- a/heronslip/src/lib.rs
+++ b/heronslip/src/lib.rs
@@ -17,10 +17,13 @@
 pub mod discovery;
 pub mod http;
 pub mod limits;
+pub mod memory;
+pub mod memory_shares;
 pub mod messages;
 pub mod net;
 pub mod outbox;
 pub mod queue;
+pub mod response_size;
 pub mod ring;
 pub mod server;
 pub mod shutdown;
@@ -32,8 +35,8 @@
 use config::Config;
 use connection_limiter::{ConnectionLimiter, ConnectionPermit};
 use discovery::{EventError, ListEvent, Subscriber};
-use limits::MemoryBudget;
 use may::net::TcpListener;
+use memory::MemoryBudget;
 use nix::errno::Errno;
 use server::{Acceptor, ServerContext};
 use std::net::SocketAddr;
@@ -51,11 +54,13 @@
     timer::start();
     let (queue, inbox) = mpsc::channel();
     let shared = Arc::new(SharedState::default());
+    let memory_budget = MemoryBudget::new(limits.buffered_bytes);
     let context = ServerContext {
         core: queue.clone(),
         limits: limits.clone(),
-        memory_budget: MemoryBudget::new(limits.buffered_bytes),
-        connection_limiter: ConnectionLimiter::new(limits.client_connections),
+        connection_limiter: ConnectionLimiter::new(&limits, &memory_budget),
+        memory_budget,
+        expected_response: Arc::default(),
         unsent_bytes: Arc::default(),
         shared: shared.clone(),
         incoming_requests: Arc::default(),
--- a/heronslip/src/limits.rs
+++ b/heronslip/src/limits.rs
@@ -1,7 +1,6 @@
 //! All sizes, counts and times of the process, computed once at the start.
+use crate::memory_shares::{MemoryShares, GUARANTEED_BYTES};
 use heronslip_policy::{Micros, Settings};
-use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
 use std::time::Duration;
 
 /// Descriptors for other uses than connections to clients and workers: listeners, signals, the scheduler, the
@@ -23,9 +22,16 @@
     pub client_connections: usize,
     /// Maximum connections to workers.
     pub worker_connections: usize,
-    /// Maximum memory of request bodies and unsent responses over all requests, in bytes.
+    /// Maximum memory of requests and unsent responses over all client connections, in bytes, beyond what
+    /// `guaranteed_per_connection` allows.
     pub buffered_bytes: usize,
-    /// Maximum memory of unsent responses on one client connection, in bytes.
+    /// Memory in bytes that the requests and unsent responses of each client connection can always take.
+    pub guaranteed_per_connection: usize,
+    /// Maximum memory of replies that have arrived in part, over all worker connections, in bytes.
+    pub reply_bytes: usize,
+    /// Maximum functions that the controller remembers.
+    pub functions: usize,
+    /// Maximum memory of direct responses that are unsent on one client connection, in bytes.
     pub max_unsent_per_connection: usize,
     /// Capacity of a client connection's ring buffers, in bytes.
     pub client_buffer: usize,
@@ -112,7 +118,8 @@
             Duration::from_micros(if configured > 0 { configured } else { default_ms * 1000 })
         };
         let longest_client_timeout = settings.classes.iter().map(|c| c.client_timeout).max().unwrap_or(0);
-        let client_connections = sockets * 2 / 5;
+        let shares = MemoryShares::new(memory, sockets * 2 / 5);
+        let client_connections = shares.client_connections;
         let idle = duration_or(settings.connection_idle_timeout, 15_000);
         let connect_timeout = duration_or(settings.connect_timeout, 250);
         let liveness_check_timeout = Duration::from_millis(200);
@@ -122,9 +129,12 @@
             max_reply: 1024 * 1024,
             requests_per_connection: 32,
             client_connections,
-            worker_connections: sockets - client_connections - RESERVED_DESCRIPTORS,
-            // An attempt's frame is a second copy of the body, and buffers and stacks need memory too.
-            buffered_bytes: memory / 4,
+            worker_connections: (sockets - sockets * 2 / 5 - RESERVED_DESCRIPTORS)
+                .min(shares.worker_connections),
+            buffered_bytes: shares.buffered_bytes,
+            guaranteed_per_connection: GUARANTEED_BYTES,
+            reply_bytes: shares.reply_bytes,
+            functions: shares.functions,
             max_unsent_per_connection: 1024 * 1024,
             client_buffer: 8 * 1024,
             worker_buffer: 64 * 1024,
@@ -196,55 +206,3 @@
         default
     }
 }
-
-/// Bounds the bytes buffered for all requests together.
-#[derive(Clone, Debug)]
-pub struct MemoryBudget {
-    used: Arc<AtomicUsize>,
-    limit: usize,
-}
-
-impl MemoryBudget {
-    /// A budget of `limit` bytes.
-    pub fn new(limit: usize) -> Self {
-        MemoryBudget { used: Arc::default(), limit }
-    }
-
-    /// Reserves bytes, or nothing if fewer are available.
-    pub fn reserve(&self, bytes: usize) -> Option<Reservation> {
-        let used_before = self.used.fetch_add(bytes, Ordering::Relaxed);
-        let reservation = Reservation { budget: self.clone(), bytes };
-        (used_before + bytes <= self.limit).then_some(reservation)
-    }
-
-    /// Bytes that are reserved now.
-    pub fn used(&self) -> usize {
-        self.used.load(Ordering::Relaxed)
-    }
-}
-
-/// Bytes reserved in a [`MemoryBudget`]. Dropping it releases them.
-#[derive(Debug)]
-pub struct Reservation {
-    budget: MemoryBudget,
-    bytes: usize,
-}
-
-impl Reservation {
-    /// Reserves more bytes. Returns false, and reserves nothing, if fewer are available.
-    pub fn grow(&mut self, bytes: usize) -> bool {
-        match self.budget.reserve(bytes) {
-            Some(mut more) => {
-                self.bytes += std::mem::take(&mut more.bytes);
-                true
-            }
-            None => false,
-        }
-    }
-}
-
-impl Drop for Reservation {
-    fn drop(&mut self) {
-        self.budget.used.fetch_sub(self.bytes, Ordering::Relaxed);
-    }
-}
--- a/heronslip/src/messages.rs
+++ b/heronslip/src/messages.rs
@@ -1,7 +1,7 @@
 //! Messages between the client protocol servers, the core, discovery and the worker transports: requests,
 //! responses, reports and worker lists. They are independent of any wire format and of the modules that
 //! exchange them.
-use crate::limits::Reservation;
+use crate::memory::Reservation;
 use heronslip_policy::{DiscoveryState, FunctionId, Micros, Outcome, WorkerState};
 use std::net::SocketAddr;
 use std::sync::atomic::{AtomicUsize, Ordering};
--- a/heronslip/src/net.rs
+++ b/heronslip/src/net.rs
@@ -74,6 +74,11 @@
         let _ = self.stream.shutdown(Shutdown::Both); // fails if the other side has already closed the connection
     }
 
+    /// Writes what the socket has room for, at once. Fails, see [`is_timeout`], if it has none.
+    pub fn write_some(&self, bytes: &[u8]) -> io::Result<usize> {
+        self.stream.inner().write(bytes)
+    }
+
     /// Writes at least one byte. Fails, see [`is_timeout`], if the socket has no room within `timeout`.
     pub fn write_within(&self, bytes: &[u8], timeout: Duration) -> io::Result<usize> {
         let (start, mut next_pause) = (Instant::now(), MIN_WRITE_PAUSE);
--- a/heronslip/src/ring.rs
+++ b/heronslip/src/ring.rs
@@ -126,4 +126,11 @@
         }
         moved
     }
+
+    /// Removes up to `max` of the oldest bytes and returns their number.
+    pub fn skip(&mut self, max: usize) -> usize {
+        let skipped = max.min(self.len);
+        self.consume(skipped);
+        skipped
+    }
 }
--- a/heronslip/src/server/kserve.rs
+++ b/heronslip/src/server/kserve.rs
@@ -1,12 +1,14 @@
 //! The KServe v2 server: the Open Inference Protocol over HTTP/1.1 REST. Its requests go to the same core as
 //! those of FastCGI clients. The read-only administration API uses the same HTTP code.
 use super::{is_valid_idempotency_key, parse_id, RequestParameters, ServerContext};
-use crate::connection_limiter::{ClientActivity, ConnectionPermit};
+use crate::connection_limiter::{ClientActivity, ConnectionLimiter, ConnectionPermit, RejectIncomplete};
 use crate::http::{response, Head};
 use crate::limits::Limits;
+use crate::memory::Reservation;
 use crate::messages::{Client, IncomingGuard, Message, Payload, Request, Response};
 use crate::net::{is_timeout, Socket};
-use crate::outbox::Outbox;
+use crate::outbox::{memory_of_response, Outbox};
+use crate::response_size::ExpectedResponse;
 use crate::ring::RingBuffer;
 use crate::worker::kserve::wrap_response;
 use heronslip_policy::json::{as_object, boolean, number, object, parse, string};
@@ -14,7 +16,7 @@
 use miniserde::json::{self, Object, Value};
 use std::collections::VecDeque;
 use std::sync::atomic::Ordering;
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Instant;
 
 /// Encodes an error object of the protocol.
@@ -55,11 +57,15 @@
     close: bool,
     /// The encoded response, once there is one.
     bytes: Option<Vec<u8>>,
+    /// Memory for the response, if it comes from the core.
+    room: Option<Reservation>,
 }
 
 /// A client connection as the core sees it.
 struct Connection {
     activity: Arc<ClientActivity>,
+    limiter: ConnectionLimiter,
+    expected_response: Arc<ExpectedResponse>,
     outbox: Outbox,
     slots: Mutex<VecDeque<ResponseSlot>>,
 }
@@ -69,22 +75,57 @@
     fn fill_slot(&self, tag: u64, encode: impl FnOnce(bool) -> Vec<u8>) {
         let Ok(mut slots) = self.slots.lock() else { return };
         if let Some(slot) = slots.iter_mut().find(|s| s.tag == tag && s.bytes.is_none()) {
-            slot.bytes = Some(encode(slot.close));
+            let mut bytes = encode(slot.close);
+            if let Some(room) = &mut slot.room {
+                // The response may wait for earlier ones for long, so it must fit.
+                if !self.limiter.resize(&self.activity, room, memory_of_response(bytes.len())) {
+                    log_limited!("client: a response failed: the memory budget for responses is exhausted");
+                    bytes = response_bytes(Response::Failed, slot.close);
+                }
+            }
+            slot.bytes = Some(bytes);
         }
         while slots.front().is_some_and(|s| s.bytes.is_some()) {
-            let Some(ResponseSlot { bytes: Some(bytes), close, .. }) = slots.pop_front() else { return };
-            self.outbox.send(bytes);
+            let Some(ResponseSlot { bytes: Some(bytes), close, room, .. }) = slots.pop_front() else {
+                return;
+            };
+            match room {
+                Some(room) => {
+                    self.outbox.send_reserved(bytes, room, || response_bytes(Response::Failed, close));
+                }
+                None => self.outbox.send(bytes),
+            }
             if close {
                 self.outbox.close();
             }
         }
     }
+
+    /// Sets the memory for the response in a slot.
+    fn set_room(&self, tag: u64, room: Reservation) {
+        let Ok(mut slots) = self.slots.lock() else { return };
+        if let Some(slot) = slots.iter_mut().find(|s| s.tag == tag) {
+            slot.room = Some(room);
+        }
+    }
+}
+
+// A connection reads one request at a time, which ends soon: see `Limits::request_read_timeout`.
+impl RejectIncomplete for Connection {
+    fn reject_incomplete(&self) {}
 }
 
 impl Client for Connection {
     fn respond(&self, tag: u64, response: Response) {
+        let served = matches!(response, Response::Served(_));
         self.activity.request_ended(!matches!(response, Response::Failed));
-        self.fill_slot(tag, |close| response_bytes(response, close));
+        self.fill_slot(tag, |close| {
+            let bytes = response_bytes(response, close);
+            if served {
+                self.expected_response.record(bytes.len());
+            }
+            bytes
+        });
     }
 
     fn connection_id(&self) -> u64 {
@@ -94,32 +135,32 @@
 
 /// Serves a KServe v2 client connection until it closes.
 pub fn serve(stream: Socket, context: &ServerContext, permit: ConnectionPermit) {
-    serve_http(stream, context, permit, "kserve", |reader, tag, head, body| {
-        reader.handle_kserve(tag, head, body)
+    serve_http(stream, context, permit, "kserve", |reader, tag, head, body, reservation| {
+        reader.handle_kserve(tag, head, body, reservation)
     });
 }
 
 /// Serves a connection of the read-only administration API until it closes.
 pub fn serve_admin(stream: Socket, context: &ServerContext, permit: ConnectionPermit) {
-    serve_http(stream, context, permit, "admin", |reader, tag, head, body| {
-        reader.handle_admin(tag, head, body)
-    });
+    serve_http(stream, context, permit, "admin", |reader, _, head, _, _| reader.handle_admin(head));
 }
 
-type Handler = fn(&Reader<'_>, u64, &Head, Vec<u8>) -> HandlerResult;
+type Handler = fn(&Reader<'_>, u64, &Head, Vec<u8>, Option<Reservation>) -> HandlerResult;
 
 fn serve_http(
     stream: Socket, context: &ServerContext, permit: ConnectionPermit, server: &'static str, handler: Handler,
 ) {
     let peer = stream.peer_addr().map_or("?".to_owned(), |p| p.to_string());
     let permit = Arc::new(permit);
-    let outbox = match context.start_outbox(stream.clone(), permit.clone()) {
-        Ok(outbox) => outbox,
-        Err(e) => return log_limited!("{server} {peer}: connection closed: cannot start its writer: {e}"),
-    };
-    permit.activity.set_outbox(&outbox);
-    let connection =
-        Arc::new(Connection { activity: permit.activity.clone(), outbox, slots: Mutex::default() });
+    let connection = Arc::new(Connection {
+        activity: permit.activity.clone(),
+        limiter: context.connection_limiter.clone(),
+        expected_response: context.expected_response.clone(),
+        outbox: context.new_outbox(stream.clone(), permit.clone()),
+        slots: Mutex::default(),
+    });
+    let requests: Weak<Connection> = Arc::downgrade(&connection);
+    permit.activity.set_server_side(&connection.outbox, requests);
     let reader = Reader { context, connection: connection.clone(), handler };
     if let Err(reason) = reader.run(stream) {
         log_limited!("{server} {peer}: connection closed: {reason}");
@@ -129,6 +170,20 @@
     connection.outbox.close();
 }
 
+/// Message of a response to a request for which there is no memory.
+const OUT_OF_MEMORY: &str = "too many bytes are held";
+
+/// A request that has been read in part.
+struct PartialRequest {
+    started_at: Instant,
+    incoming: IncomingGuard,
+    /// Memory of its head and body.
+    reservation: Reservation,
+}
+
+/// Memory is reserved for a head in steps of this many bytes.
+const HEAD_STEP: usize = 1024;
+
 /// How a handler has dealt with a request.
 enum HandlerResult {
     /// The core responds later.
@@ -152,7 +207,7 @@
         let limits = &self.context.limits;
         let (mut ring, mut head_bytes, mut tag) = (RingBuffer::new(limits.client_buffer), Vec::new(), 0u64);
         let mut partial_body: Option<(Head, Vec<u8>)> = None;
-        let mut partial_request: Option<(Instant, IncomingGuard)> = None; // set while a request is incomplete
+        let mut partial_request: Option<PartialRequest> = None; // set while a request is incomplete
         let activity = &self.connection.activity;
         stream.set_read_timeout(limits.client_check_interval).map_err(|e| e.to_string())?;
         loop {
@@ -164,10 +219,8 @@
                 Err(e) => return Err(e.to_string()),
             }
             // As in the FastCGI server: closes connections that never complete a request, or send none.
-            if partial_request
-                .as_ref()
-                .is_some_and(|(start, _)| start.elapsed() > limits.request_read_timeout)
-            {
+            let is_overdue = |p: &PartialRequest| p.started_at.elapsed() > limits.request_read_timeout;
+            if partial_request.as_ref().is_some_and(is_overdue) {
                 self.send_last(tag, "408 Request Timeout", "the request never came whole");
                 return Err("timed out reading a request".to_owned());
             }
@@ -176,14 +229,19 @@
                 return Ok(());
             }
             while !ring.is_empty() {
-                partial_request.get_or_insert_with(|| {
-                    (Instant::now(), IncomingGuard::new(&self.context.incoming_requests))
-                });
+                let partial = match &mut partial_request {
+                    Some(partial) => partial,
+                    None => partial_request.insert(self.begin_request(tag)?),
+                };
                 if partial_body.is_none() {
                     ring.drain_into(1, &mut head_bytes);
                     if head_bytes == b"\r\n" {
                         head_bytes.clear(); // an empty line before a request is ignored
                         partial_request = None;
+                        continue;
+                    }
+                    if head_bytes.len().is_multiple_of(HEAD_STEP) {
+                        self.grow(partial, HEAD_STEP, tag)?;
                     }
                     if head_bytes.len() > limits.max_head {
                         let message = "the head is too long";
@@ -208,6 +266,7 @@
                     if head.expects_continue && length > 0 {
                         self.connection.outbox.send(b"HTTP/1.1 100 Continue\r\n\r\n".to_vec());
                     }
+                    self.grow(partial, length, tag)?;
                     partial_body = Some((head, Vec::with_capacity(length)));
                 }
                 if let Some((head, mut body)) = partial_body.take() {
@@ -218,8 +277,10 @@
                         continue;
                     }
                     tag += 1;
-                    self.handle_request(tag, &head, body)?;
-                    partial_request = None; // only now: the request passed to the core has its own guard
+                    let (incoming, reservation) =
+                        partial_request.take().map(|p| (p.incoming, p.reservation)).unzip();
+                    self.handle_request(tag, &head, body, reservation)?;
+                    drop(incoming); // only now: the request passed to the core has its own guard
                     if head.close {
                         return self.discard_until_closed(&mut ring, &mut stream);
                     }
@@ -231,6 +292,26 @@
         }
     }
 
+    /// Begins to read the request that gets the next tag after `tag`.
+    fn begin_request(&self, tag: u64) -> Result<PartialRequest, String> {
+        let reservation = self.connection.activity.account.reserve(0).ok_or("no account")?;
+        let incoming = IncomingGuard::new(&self.context.incoming_requests);
+        let mut partial = PartialRequest { started_at: Instant::now(), incoming, reservation };
+        self.grow(&mut partial, HEAD_STEP, tag)?;
+        Ok(partial)
+    }
+
+    /// Reserves more memory for a request that is being read; refuses it if there is none.
+    fn grow(&self, partial: &mut PartialRequest, bytes: usize, tag: u64) -> Result<(), String> {
+        let bytes = partial.reservation.bytes() + bytes;
+        let activity = &self.connection.activity;
+        if self.context.connection_limiter.resize(activity, &mut partial.reservation, bytes) {
+            return Ok(());
+        }
+        self.send_last(tag, "503 Service Unavailable", OUT_OF_MEMORY);
+        Err("the memory budget for requests is exhausted".to_owned())
+    }
+
     /// Discards everything after the last request until the client closes the connection.
     fn discard_until_closed(&self, ring: &mut RingBuffer, stream: &mut Socket) -> Result<(), String> {
         loop {
@@ -246,20 +327,22 @@
     /// Responds to a request that cannot be read, and closes the connection after the response.
     fn send_last(&self, tag: u64, status: &'static str, message: &str) {
         if let Ok(mut slots) = self.connection.slots.lock() {
-            slots.push_back(ResponseSlot { tag: tag + 1, close: true, bytes: None });
+            slots.push_back(ResponseSlot { tag: tag + 1, close: true, bytes: None, room: None });
         }
         self.connection.fill_slot(tag + 1, |close| response(status, "", &error_body(message), close));
     }
 
-    fn handle_request(&self, tag: u64, head: &Head, body: Vec<u8>) -> Result<(), String> {
+    fn handle_request(
+        &self, tag: u64, head: &Head, body: Vec<u8>, reservation: Option<Reservation>,
+    ) -> Result<(), String> {
         {
             let mut slots = self.connection.slots.lock().map_err(|_| "poisoned")?;
             if slots.len() >= self.context.limits.requests_per_connection {
                 return Err("too many open requests on one connection".to_owned());
             }
-            slots.push_back(ResponseSlot { tag, close: head.close, bytes: None });
+            slots.push_back(ResponseSlot { tag, close: head.close, bytes: None, room: None });
         }
-        if let HandlerResult::Immediate(status, body) = (self.handler)(self, tag, head, body) {
+        if let HandlerResult::Immediate(status, body) = (self.handler)(self, tag, head, body, reservation) {
             self.connection.activity.answered_directly();
             let headers = if status.starts_with("503") { "Retry-After: 1\r\n" } else { "" };
             self.connection.fill_slot(tag, |close| response(status, headers, &body, close));
@@ -271,7 +354,9 @@
         self.context.shared.ready.load(Ordering::Acquire)
     }
 
-    fn handle_kserve(&self, tag: u64, head: &Head, body: Vec<u8>) -> HandlerResult {
+    fn handle_kserve(
+        &self, tag: u64, head: &Head, body: Vec<u8>, reservation: Option<Reservation>,
+    ) -> HandlerResult {
         let path = head.target.split('?').next().unwrap_or_default();
         let mut segments: Vec<&str> = path.trim_matches('/').split('/').collect();
         // A path may name a version. Each model has only one, so it is ignored.
@@ -310,7 +395,7 @@
                 );
                 HandlerResult::Immediate("200 OK", text.into_bytes())
             }
-            ("POST", ["v2", "models", name, "infer"]) => self.infer(tag, name, body),
+            ("POST", ["v2", "models", name, "infer"]) => self.infer(tag, name, body, reservation),
             (_, ["v2", "models", _, "infer" | "ready"]) | (_, ["v2", "health", _]) => {
                 error_result("405 Method Not Allowed", "method")
             }
@@ -318,17 +403,20 @@
         }
     }
 
-    fn infer(&self, tag: u64, name: &str, body: Vec<u8>) -> HandlerResult {
+    fn infer(&self, tag: u64, name: &str, body: Vec<u8>, reservation: Option<Reservation>) -> HandlerResult {
         let received_at = Instant::now();
-        let Some(reservation) = self.context.memory_budget.reserve(body.len()) else {
+        let activity = &self.connection.activity;
+        let Some((reservation, room)) = self.context.reserve_request(activity, reservation, body.capacity())
+        else {
             log_limited!("kserve: request refused: the memory budget for requests is exhausted");
-            return error_result("503 Service Unavailable", "too many bytes are held");
+            return error_result("503 Service Unavailable", OUT_OF_MEMORY);
         };
         match parse_request(name, body, &self.context.limits) {
             Ok(request) => {
                 let incoming = Some(IncomingGuard::new(&self.context.incoming_requests));
                 let request = Request { received_at, reservation: Some(reservation), incoming, ..request };
-                self.connection.activity.request_opened();
+                activity.request_opened();
+                self.connection.set_room(tag, room);
                 let client = self.connection.clone();
                 let _ = self.context.core.send(Message::Request { request, client, tag });
                 HandlerResult::Pending
@@ -340,7 +428,7 @@
         }
     }
 
-    fn handle_admin(&self, _tag: u64, head: &Head, _body: Vec<u8>) -> HandlerResult {
+    fn handle_admin(&self, head: &Head) -> HandlerResult {
         let path = head.target.split('?').next().unwrap_or_default();
         match (head.method.as_str(), path) {
             ("GET", "/healthz") if self.ready() => {
--- a/heronslip/src/server/mod.rs
+++ b/heronslip/src/server/mod.rs
@@ -2,13 +2,15 @@
 pub mod fastcgi;
 pub mod kserve;
 
-use crate::connection_limiter::{ConnectionLimiter, ConnectionPermit};
+use crate::connection_limiter::{ClientActivity, ConnectionLimiter, ConnectionPermit};
 use crate::coop::{pause, Budget, Group};
 use crate::core::SharedState;
-use crate::limits::{Limits, MemoryBudget};
+use crate::limits::Limits;
+use crate::memory::{MemoryBudget, Reservation};
 use crate::messages::Message;
 use crate::net::{spawn, Socket};
-use crate::outbox::Outbox;
+use crate::outbox::{memory_of_response, Outbox};
+use crate::response_size::ExpectedResponse;
 use may::net::TcpListener;
 use nix::errno::Errno;
 use nix::poll::{poll, PollFd, PollFlags, PollTimeout};
@@ -27,6 +29,9 @@
 const EXHAUSTED_DELAY: Duration = Duration::from_millis(10);
 /// Delay before accepting again after any other error.
 const ACCEPT_ERROR_DELAY: Duration = Duration::from_millis(1);
+/// Memory of a request that the core has besides its body and its response, in bytes: its records in the core,
+/// the controller and the transport, its timers and its messages.
+const REQUEST_BYTES: usize = 2 * 1024;
 /// Maximum length of an idempotency key.
 const MAX_IDEMPOTENCY_KEY: usize = 128;
 
@@ -41,6 +46,8 @@
     pub memory_budget: MemoryBudget,
     /// Limits the client connections of all servers together.
     pub connection_limiter: ConnectionLimiter,
+    /// How large the next responses may be.
+    pub expected_response: Arc<ExpectedResponse>,
     /// Bytes of responses that are not yet written.
     pub unsent_bytes: Arc<AtomicUsize>,
     /// Requests that have been read in part, or that the core has not accepted or answered yet.
@@ -52,9 +59,26 @@
 }
 
 impl ServerContext {
-    /// Starts the writer of a client connection.
-    pub fn start_outbox(&self, stream: Socket, permit: Arc<ConnectionPermit>) -> std::io::Result<Outbox> {
-        Outbox::start(stream, permit, &self.limits, &self.memory_budget, &self.unsent_bytes)
+    /// The sending side of a client connection.
+    pub fn new_outbox(&self, stream: Socket, permit: Arc<ConnectionPermit>) -> Outbox {
+        Outbox::new(stream, permit, &self.limits, &self.unsent_bytes)
+    }
+
+    /// Reserves the memory of a request that is passed to the core, and that of its response: a request that
+    /// may run must have room for its final response. `read` is what was reserved while it was read, and
+    /// `body` the bytes that its body takes. `None` if there is no room.
+    pub fn reserve_request(
+        &self, activity: &ClientActivity, read: Option<Reservation>, body: usize,
+    ) -> Option<(Reservation, Reservation)> {
+        let mut reservation = read?;
+        // Attempts are encoded with a copy of the body.
+        let request = REQUEST_BYTES + 2 * body;
+        let response = memory_of_response(self.expected_response.bytes());
+        let fits = self.connection_limiter.resize(activity, &mut reservation, request + response);
+        fits.then(|| {
+            let response_room = reservation.split(response);
+            (reservation, response_room)
+        })
     }
 }
 
--- a/heronslip/tests/limits.rs
+++ b/heronslip/tests/limits.rs
@@ -1,5 +1,6 @@
 //! Limits and the memory budget.
-use heronslip::limits::{Limits, MemoryBudget};
+use heronslip::limits::Limits;
+use heronslip::memory::MemoryBudget;
 use heronslip_policy::Settings;
 use std::time::Duration;
 
