Bound the memory of the functions that clients name

Callers saw memory grow without end, and late answers, while one client sent calls of functions that were never named before.

Cause: the controller kept records of each function ever named until four keep-alives after its last call: its record, the records of its copies at each queried worker, and the head of its preference order. Nothing bounded their number. The times of load commands were also kept for ever where the settings state no window.

Change: forgetting.rs. The functions' records have a share of the memory. When it is used up, an eighth is freed: functions never served first, then those called once, then the least recently called, so that a client's new names displace its own and not what others call again and again. What is in use stays; if all is, a call of a new function is refused. At most 32,768 arrival times are kept.

--- a/heronslip/src/core/mod.rs
+++ b/heronslip/src/core/mod.rs
@@ -134,7 +134,10 @@
     ) -> Self {
         let tenant_counters = vec![TenantCounters::default(); settings.tenants.len() + 1];
         Core {
-            controller: Controller::new(settings.clone(), seed),
+            controller: Controller::new(
+                Settings { function_memory: limits.function_bytes, ..settings.clone() },
+                seed,
+            ),
             settings,
             limits,
             clock: Clock::start(),
--- a/heronslip/src/limits.rs
+++ b/heronslip/src/limits.rs
@@ -29,8 +29,8 @@
     pub guaranteed_per_connection: usize,
     /// Maximum memory of replies that have arrived in part, over all worker connections, in bytes.
     pub reply_bytes: usize,
-    /// Maximum functions that the controller remembers.
-    pub functions: usize,
+    /// Maximum memory of the functions that the controller remembers, in bytes.
+    pub function_bytes: usize,
     /// Maximum memory of direct responses that are unsent on one client connection, in bytes.
     pub max_unsent_per_connection: usize,
     /// Capacity of a client connection's ring buffers, in bytes.
@@ -134,7 +134,7 @@
             buffered_bytes: shares.buffered_bytes,
             guaranteed_per_connection: GUARANTEED_BYTES,
             reply_bytes: shares.reply_bytes,
-            functions: shares.functions,
+            function_bytes: shares.function_bytes,
             max_unsent_per_connection: 1024 * 1024,
             client_buffer: 8 * 1024,
             worker_buffer: 64 * 1024,
--- a/heronslip/src/memory_shares.rs
+++ b/heronslip/src/memory_shares.rs
@@ -12,10 +12,6 @@
 /// Memory of a worker connection without exchanges, in bytes: the used parts of its two stacks, and its
 /// buffers.
 const WORKER_CONNECTION_BYTES: usize = 28 * 1024;
-/// Memory of a function that the controller remembers, in bytes: its record, the head of its preference order
-/// and the records of its copies.
-const FUNCTION_BYTES: usize = 2_560;
-
 /// What each part of the process may take. The rest of the memory, more than an eighth, is for the process
 /// itself, the worker list, and what the allocator cannot reuse.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -28,8 +24,8 @@
     pub worker_connections: usize,
     /// Bytes for replies of workers that have arrived in part.
     pub reply_bytes: usize,
-    /// Maximum functions that the controller remembers.
-    pub functions: usize,
+    /// Bytes for the functions that the controller remembers.
+    pub function_bytes: usize,
 }
 
 impl MemoryShares {
@@ -43,7 +39,7 @@
             buffered_bytes: memory / 8 + for_clients - client_connections * per_client,
             worker_connections: memory / 4 / WORKER_CONNECTION_BYTES,
             reply_bytes: memory / 16,
-            functions: memory / 12 / FUNCTION_BYTES,
+            function_bytes: memory / 12,
         }
     }
 }
--- a/src/control.rs
+++ b/src/control.rs
@@ -44,6 +44,8 @@
 const MAX_RETRY_TOKENS: f64 = 20.0;
 /// Most lanes of a copy that are used.
 const MAX_LANES: u32 = 1024;
+/// Most requests whose arrival times are kept. Rates beyond are taken for that of these.
+const MAX_REQUEST_TIMES: usize = 1 << 15;
 /// Token of the periodic timer. The timer of a request has the token `id << 1 | 1`.
 const PERIODIC_TIMER: u64 = 0;
 
@@ -147,12 +149,17 @@
         let class = class.min(self.settings.classes.len() - 1);
         let positive_or =
             |value: f64, other: f64| if value.is_finite() && value > 0.0 { value } else { other };
+        if !self.has_room_for(function) {
+            let retry_after = self.settings.max_retry_after / 2;
+            return out.push(Action::Refuse { id, retry_after });
+        }
         let (function_slot, new) = self.find_or_add_function(function);
         if new {
             let (service_time, load_time) = (self.class_service_time[class], load_time.min(MAX_TIME) as f64);
             self.functions[function_slot] =
                 Function { id: function, service_time, load_time, ..Function::default() };
         }
+        self.functions[function_slot].called_again |= !new;
         self.last_called = function_slot;
         let record = &mut self.functions[function_slot];
         record.memory_mb = positive_or(memory_mb, record.memory_mb);
@@ -165,6 +172,9 @@
         for copy in self.functions[function_slot].copies.values_mut().filter(|copy| copy.count > 0) {
             copy.expires_at = copy.expires_at.max(copy.confirmed_at + lifetime);
         }
+        if self.request_times.len() >= MAX_REQUEST_TIMES {
+            self.request_times.pop_front();
+        }
         self.request_times.push_back(now);
         self.retry_tokens = (self.retry_tokens + RETRY_TOKENS_PER_REQUEST).min(MAX_RETRY_TOKENS);
         let cost = self.settings.probe_cost.max(0.0);
--- a/src/fleet_stats.rs
+++ b/src/fleet_stats.rs
@@ -118,5 +118,6 @@
         self.ready = ready;
         self.renew_last_copies(now, out);
         self.forget_idle_functions(now.saturating_sub(FORGET_AFTER_KEEP_ALIVES * self.keep_alive()));
+        self.bound_function_memory();
     }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -128,6 +128,8 @@
     pub drain_grace: Micros,
     /// Whether workers may be probed.
     pub may_probe: bool,
+    /// Most memory that the records of functions may take, in bytes; 0: not stated.
+    pub function_memory: usize,
 }
 
 /// State of a listed worker.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -43,6 +43,7 @@
 mod control;
 mod fleet_stats;
 mod footprint;
+mod forgetting;
 mod health;
 mod interface;
 pub mod json;
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -71,6 +71,7 @@
             must_subscribe: string(conf, "registry-mode") == Some("ask"),
             drain_grace: number(rules, "drain-grace").map_or(DRAIN_GRACE, |_| millis(rules, "drain-grace")),
             may_probe: boolean(limits, "probes"),
+            function_memory: 0, // a property of the process, not of the deployment
         }
     }
 
--- a/src/state.rs
+++ b/src/state.rs
@@ -66,6 +66,8 @@
     pub(crate) last_loss: Micros,
     /// Whether any call of it has succeeded.
     pub(crate) ever_served: bool,
+    /// Whether it has been called more than once.
+    pub(crate) called_again: bool,
     /// Its copies, by worker slot.
     pub(crate) copies: BTreeMap<usize, CopyRecord>,
     /// Head of its preference order, behind the workers skipped; empty until needed.
@@ -309,6 +311,8 @@
     pub(crate) functions_with_queue: BTreeSet<usize>,
     /// Function slots that are not in use.
     pub(crate) free_slots: Vec<usize>,
+    /// Estimated memory of the functions' records, in bytes.
+    pub(crate) function_bytes: usize,
     /// The function called last.
     pub(crate) last_called: usize,
     /// Whether any worker has reported its load.
@@ -402,24 +406,6 @@
         (function_slot, true)
     }
 
-    /// Forgets functions not called since `before` that have nothing in flight or queued. Bounds the memory.
-    pub(crate) fn forget_idle_functions(&mut self, before: Micros) {
-        for function_slot in 0..self.functions.len() {
-            let function = &self.functions[function_slot];
-            let used = !function.queued.is_empty()
-                || function.copies.values().any(CopyRecord::in_use)
-                || function.last_call > before;
-            if used || self.function_slots.get(&function.id) != Some(&function_slot) {
-                continue;
-            }
-            self.function_slots.remove(&function.id);
-            for worker_slot in std::mem::take(&mut self.functions[function_slot]).copies.into_keys() {
-                self.workers[worker_slot].functions.remove(&function_slot);
-            }
-            self.free_slots.push(function_slot);
-        }
-    }
-
     /// A random number of 32 bits.
     pub(crate) fn random(&mut self) -> u64 {
         self.rng.as_mut().map_or(0, |rng| u64::from(rng.next_u32()))
@@ -545,7 +531,9 @@
         &mut self, function_slot: usize, worker_slot: usize, count: u32, now: Micros, out: &mut Vec<Action>,
     ) {
         self.copy_record(function_slot, worker_slot).command = Some(Command::Load(now));
-        self.load_command_times.push_back(now);
+        if self.settings.load_window > 0 {
+            self.load_command_times.push_back(now);
+        }
         self.load_tokens -= 1.0;
         self.workers[worker_slot].inflight_loads += 1;
         self.inflight_loads += 1;
