Remember the ids of requests that may have run

Callers saw an id run twice when it came again, on another connection, after its client had left.

Cause: an id was forgotten as soon as its request was answered or cancelled. A cancel does not stop work that runs, so a second request under the id met the first one at a worker, or ran beside it at another.

Change: core/wire_ids.rs. An id is in use until its request and all attempts have ended. If one of them may have run, it is remembered for as long as its client would have waited, 1 s at least, within a share of the memory; a request with it fails without an attempt. Outcome::may_have_run tells what proves that nothing ran.

Measured: client_disconnects::an_id_that_comes_again_is_not_sent_to_another_worker fails in both cases before (served a second time, and refused after further attempts), and passes.

--- a/heronslip/src/core/mod.rs
+++ b/heronslip/src/core/mod.rs
@@ -5,6 +5,7 @@
 mod clock;
 mod start_times;
 mod timers;
+mod wire_ids;
 mod worker_pool;
 
 pub use clock::Clock;
@@ -19,12 +20,13 @@
 };
 use miniserde::json::{self, Number, Object, Value};
 use start_times::StartTimes;
-use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque};
+use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::Arc;
 use std::time::Instant;
 use timers::{Timer, Timers};
+use wire_ids::WireIds;
 use worker_pool::{keep_one_per_address, Worker, WorkerPool};
 
 /// How often idle worker connections and removed workers are cleaned up.
@@ -35,6 +37,8 @@
 const IDLE_EVICTION_DIVISOR: usize = 32;
 /// Changed workers that are logged one by one for each list update; only the number of the others is logged.
 const MAX_LOGGED_WORKERS: usize = 16;
+/// Shortest time for which the id of a request that may have run is remembered after its end.
+const MIN_ID_LIFETIME: Micros = 1_000_000;
 /// Timers that fire later than this are logged: such a delay can exceed the time reserved for sending a
 /// response.
 const LATE_TIMER_LOG_THRESHOLD: Micros = 20_000;
@@ -55,6 +59,8 @@
     worker: String,
     sent_at: Micros,
     open: bool,
+    /// Whether it may have run; so it is until its end shows that it has not.
+    may_have_run: bool,
 }
 
 /// A request from its arrival until it has its response and all its attempts have ended.
@@ -113,8 +119,8 @@
     requests: HashMap<u64, OpenRequest>,
     /// Core ids of unanswered requests by client connection and tag.
     requests_by_client: BTreeMap<(u64, u64), u64>,
-    /// Wire ids of unanswered requests.
-    open_wire_ids: HashSet<u64>,
+    /// Wire ids that may not be used for another request now.
+    wire_ids: WireIds,
     workers: WorkerPool,
     load_commands: HashMap<u64, LoadCommand>,
     /// Worker of each open probe.
@@ -133,6 +139,7 @@
         shared: Arc<SharedState>,
     ) -> Self {
         let tenant_counters = vec![TenantCounters::default(); settings.tenants.len() + 1];
+        let wire_ids = WireIds::new(limits.wire_id_bytes);
         Core {
             controller: Controller::new(
                 Settings { function_memory: limits.function_bytes, ..settings.clone() },
@@ -148,7 +155,7 @@
             last_liveness_check: 0,
             requests: HashMap::new(),
             requests_by_client: BTreeMap::new(),
-            open_wire_ids: HashSet::new(),
+            wire_ids,
             workers: WorkerPool::default(),
             load_commands: HashMap::new(),
             probes: HashMap::new(),
@@ -254,9 +261,10 @@
             () if is_deduplicated && request.idempotency_key.is_none() => {
                 Some("its class requires an idempotency key, and it has none")
             }
-            // A worker could not tell apart two open requests with the same id.
-            () if self.open_wire_ids.contains(&request.wire_id) => {
-                Some("another request with this id is still open")
+            // A worker could not tell apart two open requests with the same id, and one that has been sent
+            // may run on after its client has left.
+            () if !self.wire_ids.open(request.wire_id, self.clock.now()) => {
+                Some("another request with this id is open or has been sent to a worker")
             }
             () => None,
         };
@@ -283,7 +291,6 @@
             retry: request.is_retry,
         });
         self.requests_by_client.insert((client.connection_id(), tag), id);
-        self.open_wire_ids.insert(request.wire_id);
         self.shared.open_requests.fetch_add(1, Ordering::AcqRel);
         self.counters(tenant).received += 1;
         // The controller ends each request in time; this timer answers it if the controller does not.
@@ -318,7 +325,6 @@
         let open = self.requests.get_mut(&id).filter(|o| !o.answered)?;
         open.answered = true;
         let (client, tag, tenant) = (open.client.clone(), open.tag, open.tenant);
-        self.open_wire_ids.remove(&open.request.wire_id);
         self.requests_by_client.remove(&(client.connection_id(), tag));
         Some((client, tag, tenant))
     }
@@ -337,9 +343,16 @@
 
     /// Removes a request that is answered and has no open attempt.
     fn remove_if_finished(&mut self, id: u64) {
-        if self.requests.get(&id).is_some_and(|o| o.answered && !o.attempts.iter().any(|a| a.open)) {
-            self.requests.remove(&id);
-            self.shared.open_requests.fetch_sub(1, Ordering::AcqRel);
+        if self.requests.get(&id).is_none_or(|o| !o.answered || o.attempts.iter().any(|a| a.open)) {
+            return;
+        }
+        let Some(OpenRequest { request, attempts, .. }) = self.requests.remove(&id) else { return };
+        self.shared.open_requests.fetch_sub(1, Ordering::AcqRel);
+        if attempts.iter().any(|attempt| attempt.may_have_run) {
+            let until = self.clock.now().saturating_add(request.wait.max(MIN_ID_LIFETIME));
+            self.wire_ids.remember(request.wire_id, until);
+        } else {
+            self.wire_ids.release(request.wire_id);
         }
     }
 
@@ -357,6 +370,7 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         let Some(attempt) = open.attempts.get_mut(number).filter(|a| a.open) else { return };
         attempt.open = false;
+        attempt.may_have_run = report.outcome.may_have_run();
         let elapsed = self.clock.now().saturating_sub(attempt.sent_at);
         if report.outcome != Outcome::Ok {
             log_limited!(
@@ -588,7 +602,7 @@
         let left = self.remaining_wait(now, &request);
         let budget = if timeout == 0 { left } else { timeout.min(left) };
         let Some(open) = self.requests.get_mut(&id) else { return };
-        open.attempts.push(Attempt { worker: worker.clone(), sent_at: now, open: true });
+        open.attempts.push(Attempt { worker: worker.clone(), sent_at: now, open: true, may_have_run: true });
         let still_needed = !open.answered && budget > 0;
         let has_connection = still_needed && self.reserve_connection(&worker, false);
         let is_ready = |w: &&mut Worker| w.listing.state == WorkerState::Ready;
--- a/heronslip/src/limits.rs
+++ b/heronslip/src/limits.rs
@@ -31,6 +31,8 @@
     pub reply_bytes: usize,
     /// Maximum memory of the functions that the controller remembers, in bytes.
     pub function_bytes: usize,
+    /// Maximum memory of the ids that are remembered of requests that have ended, in bytes.
+    pub wire_id_bytes: usize,
     /// Maximum memory of direct responses that are unsent on one client connection, in bytes.
     pub max_unsent_per_connection: usize,
     /// Capacity of a client connection's ring buffers, in bytes.
@@ -135,6 +137,7 @@
             guaranteed_per_connection: GUARANTEED_BYTES,
             reply_bytes: shares.reply_bytes,
             function_bytes: shares.function_bytes,
+            wire_id_bytes: shares.wire_id_bytes,
             max_unsent_per_connection: 1024 * 1024,
             client_buffer: 8 * 1024,
             worker_buffer: 64 * 1024,
--- a/heronslip/src/memory_shares.rs
+++ b/heronslip/src/memory_shares.rs
@@ -24,6 +24,8 @@
     pub worker_connections: usize,
     /// Bytes for replies of workers that have arrived in part.
     pub reply_bytes: usize,
+    /// Bytes for the ids that are remembered of requests that have ended.
+    pub wire_id_bytes: usize,
     /// Bytes for the functions that the controller remembers.
     pub function_bytes: usize,
 }
@@ -39,6 +41,7 @@
             buffered_bytes: memory / 8 + for_clients - client_connections * per_client,
             worker_connections: memory / 4 / WORKER_CONNECTION_BYTES,
             reply_bytes: memory / 16,
+            wire_id_bytes: memory / 64,
             function_bytes: memory / 12,
         }
     }
--- a/heronslip/tests/common/stand_ins.rs
+++ b/heronslip/tests/common/stand_ins.rs
@@ -22,6 +22,15 @@
     .0
 }
 
+/// Starts a worker that never replies to calls, and replies to other commands as if every function had a loaded
+/// copy. Returns its address and the number of calls that it has received.
+pub fn silent_worker() -> (SocketAddr, Arc<AtomicUsize>) {
+    start_worker(|command| match command.code {
+        code::CALL => None,
+        _ => serve(command),
+    })
+}
+
 /// The reply to a command: its code, fields and body.
 type Reply<'a> = (u8, &'static str, &'a [u8]);
 
@@ -44,8 +53,8 @@
     mut stream: TcpStream, reply: fn(&CommandFrame) -> Option<Reply<'_>>, calls: &AtomicUsize,
 ) {
     while let Ok(command) = CommandFrame::read(&mut stream) {
-        let Some((reply_code, fields, body)) = reply(&command) else { continue };
         calls.fetch_add(usize::from(command.code == code::CALL), Ordering::AcqRel);
+        let Some((reply_code, fields, body)) = reply(&command) else { continue };
         if stream.write_all(&reply_frame(reply_code, command.id, fields, body)).is_err() {
             return;
         }
--- a/src/control.rs
+++ b/src/control.rs
@@ -234,9 +234,7 @@
         let Some(request) = self.requests.get_mut(&id) else { return };
         let Some(attempt) = request.attempts.get_mut(number).filter(|a| a.open) else { return };
         attempt.open = false;
-        let did_not_run =
-            matches!(outcome, Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent | Outcome::Miss);
-        attempt.may_have_run = !did_not_run;
+        attempt.may_have_run = outcome.may_have_run();
         request.errors += u32::from(outcome == Outcome::Error);
         let (worker_slot, function_slot, kind) =
             (attempt.worker, request.function, (request.tenant, request.class));
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -192,6 +192,13 @@
     Miss,
 }
 
+impl Outcome {
+    /// Whether a call that ended so may have run.
+    pub fn may_have_run(self) -> bool {
+        !matches!(self, Outcome::Rejected | Outcome::ConnectFailed | Outcome::NotSent | Outcome::Miss)
+    }
+}
+
 /// Input of the decision logic: something happened at the front end.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
