Notice at once that a client has closed its connection

Callers saw requests sent to hosts up to 1.75 s after their client had closed its connection.

Cause: a reader sees the end of a connection only once it has read everything before it, at the pace of its turns beside others. Until then its requests were passed on and sent. A call that waited in a connection's write queue was followed by a cancel instead of being removed, and where the settings allow no cancel it was sent in any case.

A thread waits for the system to tell that connections were closed, and tells the core; a reader asks the system before it passes a request on. The core begins no attempt for a client that has left. Attempts of requests that have ended are withdrawn: a frame of which no byte is written is removed.

--- a/heronslip/src/connection_limiter.rs
+++ b/heronslip/src/connection_limiter.rs
@@ -1,11 +1,11 @@
 //! The limit on client connections, and what each of them is doing.
 use crate::limits::Limits;
 use crate::memory::{Account, MemoryBudget, Reservation};
-use crate::net::next_connection_id;
+use crate::net::{next_connection_id, Socket};
 use crate::outbox::Outbox;
 use may::sync::Mutex;
 use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Weak};
 use std::time::Instant;
 
@@ -48,6 +48,8 @@
     pub account: Arc<Account>,
     /// Memory of requests that have been read in part, in bytes.
     incomplete_bytes: AtomicUsize,
+    /// Whether the client has closed the connection.
+    hung_up: AtomicBool,
     state: Mutex<(Activity, Option<ServerSide>)>,
 }
 
@@ -72,6 +74,19 @@
         }
     }
 
+    /// Whether the client is known to have closed the connection. What is unread of it is of no use any more.
+    pub fn has_hung_up(&self) -> bool {
+        self.hung_up.load(Ordering::Acquire)
+    }
+
+    /// Looks whether the client has closed the connection, however much of what it sent is unread.
+    pub fn check_hang_up(&self, stream: &Socket) -> bool {
+        if !self.has_hung_up() && stream.has_hung_up() {
+            self.hung_up.store(true, Ordering::Release);
+        }
+        self.has_hung_up()
+    }
+
     /// Records the memory of the requests that have been read in part, in bytes.
     pub fn set_incomplete_bytes(&self, bytes: usize) {
         self.incomplete_bytes.store(bytes, Ordering::Relaxed);
@@ -146,6 +161,7 @@
             connection_id: next_connection_id(),
             account: self.memory_budget.open_account(self.guaranteed_memory),
             incomplete_bytes: AtomicUsize::new(0),
+            hung_up: AtomicBool::new(false),
             state,
         });
         connections.insert(activity.connection_id, activity.clone());
@@ -176,6 +192,14 @@
         any_new || !idle.is_empty()
     }
 
+    /// Records that the client of a connection has closed it.
+    pub fn record_hang_up(&self, connection: u64) {
+        let Ok(connections) = self.connections.lock() else { return };
+        if let Some(activity) = connections.get(&connection) {
+            activity.hung_up.store(true, Ordering::Release);
+        }
+    }
+
     /// Changes a reservation of this connection, if need be at the cost of a connection that holds more memory
     /// for requests that it has read in part. Whoever sends little, or all of it at once, goes before those
     /// who keep much waiting. Returns false, and changes nothing, if there is no room.
--- a/heronslip/src/core/mod.rs
+++ b/heronslip/src/core/mod.rs
@@ -247,6 +247,9 @@
 
     fn accept_request(&mut self, mut request: Request, client: Arc<dyn Client>, tag: u64) {
         let _incoming = request.incoming.take(); // until the request is counted as open, or answered
+        if client.has_left() {
+            return;
+        }
         if self.shared.refuses_requests.load(Ordering::Acquire) {
             return client.respond(tag, Response::Refused { retry_after: self.settings.max_retry_after / 2 });
         }
@@ -326,9 +329,21 @@
         open.answered = true;
         let (client, tag, tenant) = (open.client.clone(), open.tag, open.tenant);
         self.requests_by_client.remove(&(client.connection_id(), tag));
+        self.withdraw_attempts(id);
         Some((client, tag, tenant))
     }
 
+    /// Keeps attempts of a request from being begun that have not been.
+    fn withdraw_attempts(&mut self, id: u64) {
+        let Some(open) = self.requests.get(&id) else { return };
+        for (number, attempt) in open.attempts.iter().enumerate().filter(|(_, attempt)| attempt.open) {
+            if let Some(worker) = self.workers.get_mut(&attempt.worker) {
+                let key = AttemptKey { request: id, attempt: number };
+                worker.transports().for_each(|transport| transport.withdraw_attempt(key));
+            }
+        }
+    }
+
     /// Sends the final response. A second response to the same request is dropped.
     fn respond(&mut self, id: u64, response: Response) {
         let Some((client, tag, tenant)) = self.close_request(id) else { return };
@@ -603,7 +618,7 @@
         let budget = if timeout == 0 { left } else { timeout.min(left) };
         let Some(open) = self.requests.get_mut(&id) else { return };
         open.attempts.push(Attempt { worker: worker.clone(), sent_at: now, open: true, may_have_run: true });
-        let still_needed = !open.answered && budget > 0;
+        let still_needed = !open.answered && !open.client.has_left() && budget > 0;
         let has_connection = still_needed && self.reserve_connection(&worker, false);
         let is_ready = |w: &&mut Worker| w.listing.state == WorkerState::Ready;
         let start_deadline = self.start_deadline(key, &worker);
--- a/heronslip/src/lib.rs
+++ b/heronslip/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod coop;
 pub mod core;
 pub mod discovery;
+pub mod hang_up;
 pub mod http;
 pub mod limits;
 pub mod memory;
@@ -35,6 +36,7 @@
 use config::Config;
 use connection_limiter::{ConnectionLimiter, ConnectionPermit};
 use discovery::{EventError, ListEvent, Subscriber};
+use hang_up::HangUpWatcher;
 use may::net::TcpListener;
 use memory::MemoryBudget;
 use nix::errno::Errno;
@@ -60,12 +62,17 @@
         limits: limits.clone(),
         connection_limiter: ConnectionLimiter::new(&limits, &memory_budget),
         memory_budget,
+        hang_ups: HangUpWatcher::default(),
         expected_response: Arc::default(),
         unsent_bytes: Arc::default(),
         shared: shared.clone(),
         incoming_requests: Arc::default(),
         closing: Arc::new(AtomicBool::new(false)),
     };
+    context
+        .hang_ups
+        .start(context.connection_limiter.clone(), queue.clone())
+        .map_err(|e| format!("cannot watch client connections: {e}"))?;
     let reports = worker::ReportSender(queue.clone());
     let core = Core::new(config.settings, config.seed, limits.clone(), inbox, reports, shared);
     // A panic leaves the controller half-changed, and a front end without its core must not continue.
--- a/heronslip/src/messages.rs
+++ b/heronslip/src/messages.rs
@@ -99,6 +99,8 @@
     fn respond(&self, tag: u64, response: Response);
     /// The connection's id, unique in the process.
     fn connection_id(&self) -> u64;
+    /// Whether the client has closed the connection, so that nothing must be begun for it any more.
+    fn has_left(&self) -> bool;
 }
 
 /// Identifies an attempt.
--- a/heronslip/src/net.rs
+++ b/heronslip/src/net.rs
@@ -1,5 +1,6 @@
 //! Parts that all connections share: coroutines and sockets.
 use crate::coop::{pause, Budget, Group};
+use crate::hang_up::{has_hung_up, HangUpWatcher};
 use crate::limits::Limits;
 use may::net::TcpStream;
 use std::io::{self, ErrorKind, Read, Write};
@@ -69,6 +70,16 @@
         self.stream.peer_addr()
     }
 
+    /// Whether the other side has closed the connection, however much of what it sent is unread.
+    pub fn has_hung_up(&self) -> bool {
+        has_hung_up(self.stream.inner())
+    }
+
+    /// Has the end of the connection noticed as soon as the other side closes it.
+    pub fn watch(&self, watcher: &HangUpWatcher, connection: u64) {
+        watcher.watch(self.stream.inner(), connection);
+    }
+
     /// Closes both directions; the reader sees the end of the stream.
     pub fn close(&self) {
         let _ = self.stream.shutdown(Shutdown::Both); // fails if the other side has already closed the connection
--- a/heronslip/src/server/fastcgi/mod.rs
+++ b/heronslip/src/server/fastcgi/mod.rs
@@ -76,6 +76,10 @@
     fn connection_id(&self) -> u64 {
         self.activity.connection_id
     }
+
+    fn has_left(&self) -> bool {
+        self.activity.has_hung_up()
+    }
 }
 
 impl Connection {
@@ -146,7 +150,8 @@
     });
     let requests: Weak<Connection> = Arc::downgrade(&connection);
     permit.activity.set_server_side(&connection.outbox, requests);
-    if let Err(reason) = Reader::new(context, &connection).run(stream) {
+    stream.watch(&context.hang_ups, permit.activity.connection_id);
+    if let Err(reason) = Reader::new(context, &connection, stream).run() {
         log_limited!("fastcgi {peer}: connection closed: {reason}");
     }
     // Sending fails only when the process ends.
--- a/heronslip/src/server/fastcgi/reader.rs
+++ b/heronslip/src/server/fastcgi/reader.rs
@@ -19,28 +19,29 @@
 pub(super) struct Reader<'a> {
     context: &'a ServerContext,
     connection: &'a Arc<Connection>,
+    stream: Socket,
     last_sequence: u64,
     /// Discarded bytes that belong to no request, since the last complete request.
     unassigned_discarded: usize,
 }
 
 impl<'a> Reader<'a> {
-    pub fn new(context: &'a ServerContext, connection: &'a Arc<Connection>) -> Self {
-        Reader { context, connection, last_sequence: 0, unassigned_discarded: 0 }
+    pub fn new(context: &'a ServerContext, connection: &'a Arc<Connection>, stream: Socket) -> Self {
+        Reader { context, connection, stream, last_sequence: 0, unassigned_discarded: 0 }
     }
 
     /// Reads until the connection closes.
     ///
     /// # Errors
     /// Returns why the connection must be closed.
-    pub fn run(&mut self, mut stream: Socket) -> Result<(), String> {
+    pub fn run(&mut self) -> Result<(), String> {
         let limits = self.context.limits.clone();
-        stream.set_read_timeout(limits.client_check_interval).map_err(|e| e.to_string())?;
+        self.stream.set_read_timeout(limits.client_check_interval).map_err(|e| e.to_string())?;
         let mut ring = RingBuffer::new(limits.client_buffer);
         let mut records = RecordReader::new();
         let mut last_check = Instant::now();
         loop {
-            match ring.read_from(&mut stream) {
+            match ring.read_from(&mut self.stream) {
                 Ok(0) => return Ok(()),
                 Ok(_) => {}
                 Err(e) if is_timeout(&e) => {}
@@ -48,7 +49,7 @@
             }
             while let Some(part) = records.next(&mut ring)? {
                 self.handle_record(&part)?;
-                if self.connection.outbox.is_closing() {
+                if self.connection.outbox.is_closing() || self.connection.activity.has_hung_up() {
                     return Ok(());
                 }
             }
@@ -271,6 +272,9 @@
                 return Ok(());
             }
         };
+        if self.connection.activity.check_hang_up(&self.stream) {
+            return Ok(());
+        }
         let rooms = self.context.reserve_request(&self.connection.activity, reservation, body_memory);
         let Some((reservation, response_room)) = rooms else {
             self.connection.reject(id, Rejection::OutOfMemory, keep_connection);
--- a/heronslip/src/server/kserve.rs
+++ b/heronslip/src/server/kserve.rs
@@ -131,6 +131,10 @@
     fn connection_id(&self) -> u64 {
         self.activity.connection_id
     }
+
+    fn has_left(&self) -> bool {
+        self.activity.has_hung_up()
+    }
 }
 
 /// Serves a KServe v2 client connection until it closes.
@@ -161,6 +165,7 @@
     });
     let requests: Weak<Connection> = Arc::downgrade(&connection);
     permit.activity.set_server_side(&connection.outbox, requests);
+    stream.watch(&context.hang_ups, permit.activity.connection_id);
     let reader = Reader { context, connection: connection.clone(), handler };
     if let Err(reason) = reader.run(stream) {
         log_limited!("{server} {peer}: connection closed: {reason}");
--- a/heronslip/src/server/mod.rs
+++ b/heronslip/src/server/mod.rs
@@ -5,6 +5,7 @@
 use crate::connection_limiter::{ClientActivity, ConnectionLimiter, ConnectionPermit};
 use crate::coop::{pause, Budget, Group};
 use crate::core::SharedState;
+use crate::hang_up::HangUpWatcher;
 use crate::limits::Limits;
 use crate::memory::{MemoryBudget, Reservation};
 use crate::messages::Message;
@@ -46,6 +47,8 @@
     pub memory_budget: MemoryBudget,
     /// Limits the client connections of all servers together.
     pub connection_limiter: ConnectionLimiter,
+    /// Notices the ends of client connections.
+    pub hang_ups: HangUpWatcher,
     /// How large the next responses may be.
     pub expected_response: Arc<ExpectedResponse>,
     /// Bytes of responses that are not yet written.
--- a/heronslip/src/worker/frames/exchange.rs
+++ b/heronslip/src/worker/frames/exchange.rs
@@ -109,6 +109,8 @@
         condition: StartCondition,
     },
     Cancel(ExchangeKey),
+    /// Ends an exchange as not sent, unless a byte of it has been written.
+    Withdraw(ExchangeKey),
     /// Writes a frame that gets no reply.
     OneWay(Vec<u8>),
     /// Closes the connection.
--- a/heronslip/src/worker/frames/mod.rs
+++ b/heronslip/src/worker/frames/mod.rs
@@ -96,9 +96,14 @@
     }
 
     fn cancel(&self, key: ExchangeKey) {
-        // Only the writer knows whether its connection carries the exchange; the others ignore the command.
+        self.send_to_all(|| Command::Cancel(key));
+    }
+
+    /// Sends a command to all connections. Only the writer knows whether its connection carries the exchange;
+    /// the others ignore the command.
+    fn send_to_all(&self, command: impl Fn() -> Command) {
         for connection in self.connections.iter().filter(|c| !c.state.broken.load(Ordering::Acquire)) {
-            let _ = connection.commands.send(Command::Cancel(key));
+            let _ = connection.commands.send(command());
         }
     }
 
@@ -127,6 +132,10 @@
         self.cancel(ExchangeKey::Attempt(key));
     }
 
+    fn withdraw_attempt(&mut self, key: AttemptKey) {
+        self.send_to_all(|| Command::Withdraw(ExchangeKey::Attempt(key)));
+    }
+
     fn abandon(&mut self, command: u64) {
         self.cancel(ExchangeKey::Load(command));
         self.cancel(ExchangeKey::Probe(command));
--- a/heronslip/src/worker/frames/write_queue.rs
+++ b/heronslip/src/worker/frames/write_queue.rs
@@ -24,9 +24,9 @@
 }
 
 impl QueuedFrame {
-    /// Whether no byte of it has been written and its start condition no longer holds.
-    fn has_expired(&self, written: u64, retired: bool, now: Instant) -> bool {
-        self.start >= written && self.starts.is_some_and(|(_, condition)| condition.has_expired(retired, now))
+    /// Whether it starts an exchange, no byte of it has been written, and it is to be removed.
+    fn is_removed(&self, written: u64, is_removed: &impl Fn(u64, StartCondition) -> bool) -> bool {
+        self.start >= written && self.starts.is_some_and(|(id, condition)| is_removed(id, condition))
     }
 }
 
@@ -83,7 +83,16 @@
     /// tells whether the worker drains. All other frames stay, cancels among them: an attempt whose cancel
     /// was lost would still run beside the one that replaces it.
     pub fn remove_expired(&mut self, retired: bool, now: Instant) -> RemovedFrames {
-        if !self.frames.iter().any(|frame| frame.has_expired(self.written, retired, now)) {
+        self.remove(&|_, condition| condition.has_expired(retired, now))
+    }
+
+    /// Removes the frame that starts this exchange, unless a byte of it has been written.
+    pub fn remove_unstarted(&mut self, id: u64) -> RemovedFrames {
+        self.remove(&|started, _| started == id)
+    }
+
+    fn remove(&mut self, is_removed: &impl Fn(u64, StartCondition) -> bool) -> RemovedFrames {
+        if !self.frames.iter().any(|frame| frame.is_removed(self.written, is_removed)) {
             return RemovedFrames::default();
         }
         let mut bytes = Vec::new();
@@ -92,9 +101,9 @@
         self.end = self.written;
         for mut frame in std::mem::take(&mut self.frames) {
             let partly_written = frame.start < written;
-            let expired = frame.has_expired(written, retired, now);
+            let removes_frame = frame.is_removed(written, is_removed);
             match frame.starts {
-                Some((id, _)) if expired => removed.ids.push(id),
+                Some((id, _)) if removes_frame => removed.ids.push(id),
                 starts => {
                     let from = frame.start.max(written);
                     let content = &bytes[(from - written) as usize..(frame.end - written) as usize];
--- a/heronslip/src/worker/frames/writer.rs
+++ b/heronslip/src/worker/frames/writer.rs
@@ -94,6 +94,7 @@
                 return Err("closed after a liveness check had no reply".to_owned());
             }
             self.apply_cancels();
+            self.remove_withdrawn();
             self.remove_expired();
             self.fill_queue()?;
             if self.queue.is_empty() {
@@ -146,6 +147,53 @@
             _ => true,
         });
         let removed = self.queue.remove_expired(retired, now);
+        self.end_removed(removed, |writer, key| writer.end_unsent(key));
+    }
+
+    /// Ends exchanges that are cancelled or withdrawn and of which no byte has been written. Those withdrawn
+    /// that have started go on.
+    fn remove_withdrawn(&mut self) {
+        let keys: Vec<(ExchangeKey, bool)> = self
+            .waiting
+            .iter()
+            .filter_map(|command| match command {
+                Command::Cancel(key) => Some((*key, true)),
+                Command::Withdraw(key) => Some((*key, false)),
+                _ => None,
+            })
+            .collect();
+        for (key, is_cancelled) in keys {
+            let is_unstarted =
+                |c: &Command| matches!(c, Command::Start { key: started, .. } if *started == key);
+            if !is_cancelled && self.waiting.iter().any(is_unstarted) {
+                self.waiting.retain(|command| !is_unstarted(command));
+                self.end_unsent(key);
+            }
+            let Some(id) = self.pending_id(key) else { continue };
+            let removed = self.queue.remove_unstarted(id);
+            if is_cancelled {
+                self.end_removed(removed, |writer, _| {
+                    writer.state.pending.fetch_sub(1, Ordering::AcqRel);
+                });
+            } else {
+                self.end_removed(removed, |writer, key| writer.end_unsent(key));
+            }
+        }
+        self.waiting.retain(|command| !matches!(command, Command::Withdraw(_)));
+    }
+
+    /// The id of a pending exchange of this connection.
+    fn pending_id(&self, key: ExchangeKey) -> Option<u64> {
+        let table = self.state.exchanges.lock().ok()?;
+        table.pending.iter().find(|(_, exchange)| exchange.key == key).map(|(&id, _)| id)
+    }
+
+    fn end_unsent(&self, key: ExchangeKey) {
+        end_exchange(&self.reports, &self.state, key, Outcome::NotSent);
+    }
+
+    /// Takes the exchanges of removed frames out of the table, and ends each.
+    fn end_removed(&self, removed: RemovedFrames, end: impl Fn(&Self, ExchangeKey)) {
         if removed == RemovedFrames::default() {
             return;
         }
@@ -155,11 +203,9 @@
                 exchange.frame_end = end;
             }
         }
-        for id in removed.ids {
-            if let Some(exchange) = table.pending.remove(&id) {
-                end_exchange(&self.reports, &self.state, exchange.key, Outcome::NotSent);
-            }
-        }
+        let ended: Vec<_> = removed.ids.into_iter().filter_map(|id| table.pending.remove(&id)).collect();
+        drop(table);
+        ended.into_iter().for_each(|exchange| end(self, exchange.key));
     }
 
     /// Moves waiting commands into the write queue while their frames fit.
@@ -169,6 +215,7 @@
                 Command::Close => return Err("closed after a liveness check had no reply".to_owned()),
                 Command::OneWay(ref frame) => self.push_one_way(frame)?,
                 Command::Cancel(key) => self.push_cancel(key)?,
+                Command::Withdraw(_) => false, // done already
                 Command::Start { key, id, function, ref first_frame, condition } => {
                     self.push_start(key, id, function, first_frame, condition)?
                 }
--- a/heronslip/src/worker/kserve.rs
+++ b/heronslip/src/worker/kserve.rs
@@ -97,12 +97,31 @@
     Unload,
 }
 
+/// What has been decided of a job since it was queued.
+#[derive(Default)]
+struct JobFlags {
+    /// It has ended for the core, and is ended early if it has started.
+    cancelled: AtomicBool,
+    /// It is not started any more.
+    withdrawn: AtomicBool,
+}
+
+impl JobFlags {
+    fn is_cancelled(&self) -> bool {
+        self.cancelled.load(Ordering::Acquire)
+    }
+
+    fn is_withdrawn(&self) -> bool {
+        self.withdrawn.load(Ordering::Acquire)
+    }
+}
+
 /// One HTTP exchange to carry out.
 struct Job {
     kind: JobKind,
     /// The encoded HTTP request.
     bytes: Vec<u8>,
-    cancelled: Arc<AtomicBool>,
+    flags: Arc<JobFlags>,
     /// The transport's epoch when the job was queued.
     epoch: u64,
     /// Whether the job may still be started.
@@ -130,30 +149,30 @@
     state: Arc<SharedState>,
     jobs: Sender<Job>,
     queue: Receiver<Job>,
-    /// Cancel flags of the attempts that may still be pending.
-    cancel_flags: Vec<(AttemptKey, Arc<AtomicBool>)>,
+    /// Flags of the attempts that may still be pending.
+    attempt_flags: Vec<(AttemptKey, Arc<JobFlags>)>,
 }
 
 impl KserveTransport {
     /// Creates a transport. Connections are opened when they are needed.
     pub fn new(address: SocketAddr, limits: Arc<Limits>, reports: ReportSender) -> Self {
         let (jobs, queue) = queue();
-        let (state, cancel_flags) = (Arc::default(), Vec::new());
-        KserveTransport { address, limits, reports, state, jobs, queue, cancel_flags }
+        let (state, attempt_flags) = (Arc::default(), Vec::new());
+        KserveTransport { address, limits, reports, state, jobs, queue, attempt_flags }
     }
 
     /// Queues a job, and starts another connection if all are busy and the limit allows it.
     fn enqueue(&mut self, kind: JobKind, bytes: Vec<u8>, condition: StartCondition, budget: Micros) {
-        let cancelled = Arc::new(AtomicBool::new(false));
+        let flags = Arc::<JobFlags>::default();
         if let JobKind::Attempt { key, .. } = kind {
-            self.drop_ended_cancel_flags();
-            self.cancel_flags.push((key, cancelled.clone()));
+            self.drop_ended_flags();
+            self.attempt_flags.push((key, flags.clone()));
         }
         let epoch = self.state.epoch.load(Ordering::Acquire);
         let deadline = Instant::now() + Duration::from_micros(budget);
         let pending = self.state.pending.fetch_add(1, Ordering::AcqRel) + 1;
         // If no connection takes the job, the core's timer ends it.
-        self.jobs.send(Job { kind, bytes, cancelled, epoch, condition, deadline });
+        self.jobs.send(Job { kind, bytes, flags, epoch, condition, deadline });
         let connections = self.state.connections.load(Ordering::Acquire);
         if pending > connections && connections < self.limits.connections_per_kserve_worker {
             self.state.connections.fetch_add(1, Ordering::AcqRel);
@@ -167,9 +186,9 @@
         }
     }
 
-    /// Drops the cancel flags whose jobs have ended.
-    fn drop_ended_cancel_flags(&mut self) {
-        self.cancel_flags.retain(|(_, flag)| Arc::strong_count(flag) > 1);
+    /// Drops the flags whose jobs have ended.
+    fn drop_ended_flags(&mut self) {
+        self.attempt_flags.retain(|(_, flag)| Arc::strong_count(flag) > 1);
     }
 
     fn post(&self, path: &str, budget: Micros, body: &[u8]) -> Vec<u8> {
@@ -196,8 +215,14 @@
     }
 
     fn cancel_attempt(&mut self, key: AttemptKey) {
-        if let Some(index) = self.cancel_flags.iter().position(|(k, _)| *k == key) {
-            self.cancel_flags.swap_remove(index).1.store(true, Ordering::Release);
+        if let Some(index) = self.attempt_flags.iter().position(|(k, _)| *k == key) {
+            self.attempt_flags.swap_remove(index).1.cancelled.store(true, Ordering::Release);
+        }
+    }
+
+    fn withdraw_attempt(&mut self, key: AttemptKey) {
+        if let Some((_, flags)) = self.attempt_flags.iter().find(|(k, _)| *k == key) {
+            flags.withdrawn.store(true, Ordering::Release);
         }
     }
 
@@ -260,7 +285,7 @@
     fn check_liveness(&mut self) {} // a connection carries one exchange, which has a deadline
 
     fn sweep(&mut self) {
-        self.drop_ended_cancel_flags(); // idle connections close by themselves
+        self.drop_ended_flags(); // idle connections close by themselves
     }
 }
 
@@ -298,7 +323,7 @@
 
     fn run_job(&mut self, job: &Job) {
         let result = self.exchange(job);
-        if job.cancelled.load(Ordering::Acquire) {
+        if job.flags.is_cancelled() {
             return; // the core has ended the attempt already
         }
         match &job.kind {
@@ -323,7 +348,9 @@
     /// Whether the job must not be started any more.
     fn must_not_start(&self, job: &Job) -> bool {
         let retired = job.epoch != self.state.epoch.load(Ordering::Acquire);
-        job.cancelled.load(Ordering::Acquire) || job.condition.has_expired(retired, Instant::now())
+        job.flags.is_cancelled()
+            || job.flags.is_withdrawn()
+            || job.condition.has_expired(retired, Instant::now())
     }
 
     /// Sends the request and reads the whole reply.
@@ -351,7 +378,7 @@
         }
         self.write(&mut stream, job)?;
         let (reply, reusable) = self.read(&mut stream, job).map_err(|why| {
-            if !job.cancelled.load(Ordering::Acquire) {
+            if !job.flags.is_cancelled() {
                 log_limited!("worker {}: no complete reply, the request may have run: {why}", self.address);
             }
             // The request was written completely, so it may have run.
@@ -451,7 +478,7 @@
                     }
                     // HTTP/1.1 has no cancel: closing the connection is the only way to end an exchange
                     // early.
-                    if job.cancelled.load(Ordering::Acquire) || Instant::now() > job.deadline {
+                    if job.flags.is_cancelled() || Instant::now() > job.deadline {
                         return Err("cancelled or past its deadline".to_owned());
                     }
                 }
--- a/heronslip/src/worker/mod.rs
+++ b/heronslip/src/worker/mod.rs
@@ -52,6 +52,9 @@
     );
     /// Cancels an attempt. What has not been written yet is not written.
     fn cancel_attempt(&mut self, key: AttemptKey);
+    /// Ends an attempt as not sent, unless a byte of it has been written: its client needs it no longer, but it
+    /// may not be cancelled.
+    fn withdraw_attempt(&mut self, key: AttemptKey);
     /// Stops waiting for the reply to a load command, a copy query or a probe.
     fn abandon(&mut self, command: u64);
     /// Whether nothing is open any more, so that the transport can be dropped.
--- a/heronslip/tests/client_disconnects.rs
+++ b/heronslip/tests/client_disconnects.rs
@@ -26,9 +26,12 @@
 const CODE_UNLOAD: u8 = 8;
 const CODE_OK: u8 = 200;
 
-/// A call is cancelled while its connection is being established: it must not be written once that is open.
-#[test]
-fn a_call_cancelled_while_connecting_is_not_written() {
+/// A call is cancelled, or withdrawn, while its connection is being established: it must not be written once
+/// that is open.
+#[rstest]
+#[case::cancelled(FrameTransport::cancel_attempt)]
+#[case::withdrawn(FrameTransport::withdraw_attempt)]
+fn a_call_cancelled_while_connecting_is_not_written(#[case] cancel: fn(&mut FrameTransport, AttemptKey)) {
     let (listener, fillers) = saturated_listener();
     let address = listener.local_addr().expect("bound");
     let mut limits = Limits::new(192, 1024, &heronslip_policy::Settings::default());
@@ -54,7 +57,7 @@
     };
     let key = AttemptKey { request: 1, attempt: 0 };
     transport.send_attempt(key, &Arc::new(request), 60_000_000, None);
-    transport.cancel_attempt(key);
+    cancel(&mut transport, key);
     let accepted: Vec<TcpStream> =
         (0..=fillers.len()).map(|_| listener.accept().expect("a connection").0).collect();
     // The unload command is still written before the connection closes.
--- a/heronslip/tests/common/mod.rs
+++ b/heronslip/tests/common/mod.rs
@@ -779,6 +779,7 @@
         core,
         connection_limiter: ConnectionLimiter::new(&limits, &memory_budget),
         memory_budget,
+        hang_ups: Default::default(),
         expected_response: Arc::default(),
         limits,
         unsent_bytes: Arc::default(),
--- a/heronslip/tests/transport.rs
+++ b/heronslip/tests/transport.rs
@@ -229,6 +229,24 @@
     assert_eq!(written, [started, cancel, query].concat());
 }
 
+/// The client of a call has left while the socket is not writable. The call is removed, unless a byte of it has
+/// been written.
+#[test]
+fn an_unstarted_call_is_removed_alone() {
+    let call = |id| encode(code::CALL, id, "queue=c,path=7", b"body");
+    let while_ready = StartCondition::WhileReady { deadline: None };
+    let mut queue = WriteQueue::new(4096);
+    for id in 1..=3 {
+        queue.push(&call(id), Some((id, while_ready)));
+    }
+    let mut written = write_out(&mut queue, 5);
+    assert_eq!(queue.remove_unstarted(1), RemovedFrames::default(), "it has been begun");
+    let end = 2 * call(1).len() as u64;
+    assert_eq!(queue.remove_unstarted(2), RemovedFrames { ids: vec![2], moved: vec![(3, end)] });
+    written.extend(write_out(&mut queue, usize::MAX));
+    assert_eq!(written, [call(1), call(3)].concat());
+}
+
 /// Waits for the end of an attempt.
 fn attempt_end(reports: &mpsc::Receiver<Message>) -> (AttemptKey, Outcome) {
     match reports.recv_timeout(Duration::from_secs(20)) {
