Judge a client by what would be open if none had more open than it has

Callers saw their calls refused, or late, while one client had as many open as its connections allow.

Cause: admission looked at the calls in flight of all clients together, so that it refused whoever came next.

Change: the core tells for each request what would be open if no client had more open than its client has, as a fraction of what is (Event::ClientShare); admission scales the wait by it. A call given up before its expected time counts as one that has left at the usual pace.

--- a/heronslip/src/core/mod.rs
+++ b/heronslip/src/core/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Client protocol servers, worker transports and discovery reach it only through its queue of [`Message`]s.
 //! It knows requests, attempts, outcomes and workers, but no wire format.
+mod client_shares;
 mod clock;
 mod start_times;
 mod timers;
@@ -15,6 +16,7 @@
     AttemptKey, AttemptReport, Client, ListedWorker, Message, Request, Response, WorkerProtocol,
 };
 use crate::worker::{new_transport, ReportSender};
+use client_shares::ClientShares;
 use heronslip_policy::{
     Action, Controller, Event, FunctionId, Micros, Outcome, RetrySafety, Settings, WorkerEntry, WorkerState,
 };
@@ -119,6 +121,7 @@
     requests: HashMap<u64, OpenRequest>,
     /// Core ids of unanswered requests by client connection and tag.
     requests_by_client: BTreeMap<(u64, u64), u64>,
+    client_shares: ClientShares,
     /// Wire ids that may not be used for another request now.
     wire_ids: WireIds,
     workers: WorkerPool,
@@ -155,6 +158,7 @@
             last_liveness_check: 0,
             requests: HashMap::new(),
             requests_by_client: BTreeMap::new(),
+            client_shares: ClientShares::new(),
             wire_ids,
             workers: WorkerPool::default(),
             load_commands: HashMap::new(),
@@ -282,6 +286,8 @@
         let id = self.last_id;
         let now = self.clock.now();
         let left = self.remaining_wait(now, &request);
+        let share = self.client_shares.open(client.connection_id());
+        self.events.push_back(Event::ClientShare { id, share });
         self.events.push_back(Event::Request {
             id,
             class,
@@ -329,6 +335,7 @@
         open.answered = true;
         let (client, tag, tenant) = (open.client.clone(), open.tag, open.tenant);
         self.requests_by_client.remove(&(client.connection_id(), tag));
+        self.client_shares.close(client.connection_id());
         self.withdraw_attempts(id);
         Some((client, tag, tenant))
     }
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -18,14 +18,28 @@
 /// known.
 const WARM_UP_TICKS: u32 = 100;
 
+/// A request that is to be admitted or refused.
+pub(crate) struct NewCall {
+    pub(crate) class: usize,
+    pub(crate) tenant: Option<usize>,
+    /// Time until the client gives up, in microseconds.
+    pub(crate) timeout: f64,
+    /// Usual response time at a loaded copy, in microseconds.
+    pub(crate) service_time: f64,
+    /// See [`Event::ClientShare`](crate::Event::ClientShare).
+    pub(crate) client_share: f64,
+}
+
 impl Controller {
     /// Whether a request is to be refused because at the recent pace the requests in flight take longer than
     /// the latency targets. This keeps queues from growing without bound. The least valuable requests are
     /// refused first: those beyond a tenant's quota, then those of the class with the least worth per unit of
     /// service time. Nothing is refused while few requests are in flight or the pace is not known yet.
-    pub(crate) fn overloaded(
-        &self, class: usize, tenant: Option<usize>, timeout: f64, service_time: f64,
-    ) -> bool {
+    ///
+    /// A client answers for the requests that would be in flight if no client had more than it has: one that
+    /// has few open is not refused for the many of another.
+    pub(crate) fn overloaded(&self, call: &NewCall) -> bool {
+        let &NewCall { class, tenant, timeout, service_time, client_share } = call;
         // Workers report the requests of all front ends. Without reports, every front end is assumed to have
         // as many in flight as this one.
         let estimate =
@@ -34,7 +48,7 @@
         if inflight < MIN_INFLIGHT_TO_REFUSE || self.ticks < WARM_UP_TICKS {
             return false;
         }
-        let wait = self.backlog / self.served_rate.max(0.1) * SEC as f64;
+        let wait = client_share * self.backlog / self.served_rate.max(0.1) * SEC as f64;
         let over_quota = tenant.is_some_and(|t| self.over_quota(t));
         let classes = &self.settings.classes[..self.settings.classes.len() - 1];
         let worth_rate = |c: usize| self.settings.classes[c].worth / self.class_service_time[c];
--- a/src/control.rs
+++ b/src/control.rs
@@ -6,7 +6,7 @@
 //! If there is none, that is a loss. Losses, real or virtual, add copies where the least recently lost
 //! function is idle: see `replication`. Everything else protects this path: admission, slow start, health,
 //! retries and readiness.
-use crate::admission::MIN_INFLIGHT_TO_REFUSE;
+use crate::admission::{NewCall, MIN_INFLIGHT_TO_REFUSE};
 use crate::fleet_stats::MAX_RATE_SPAN;
 use crate::health::{AttemptResult, ALL_CALLS, TRIAL_INTERVAL};
 use crate::interface::*;
@@ -96,10 +96,14 @@
             Event::WorkerList { full, entries } => self.on_worker_list(now, full, entries, out),
             Event::Discovery { state } => self.on_discovery(now, state),
             Event::Probed { .. } => self.on_probed(now, event, out),
+            Event::ClientShare { id, share } => self.next_client_share = Some((id, share.clamp(0.0, 1.0))),
             Event::Request { id, .. } if self.requests.contains_key(&id) => {}
             Event::Request { .. } => self.on_request(now, event, out),
             Event::Outcome { .. } => self.on_outcome(now, event, out),
-            Event::RequestCancelled { id } => self.close_request(id, out),
+            Event::RequestCancelled { id } => {
+                self.record_early_cancel(now, id);
+                self.close_request(id, out);
+            }
             Event::Timer { token: PERIODIC_TIMER } => {
                 self.on_tick(now, out);
                 let delay = if self.requests.is_empty() { STATS_PERIOD } else { TICK };
@@ -201,7 +205,9 @@
         };
         self.requests.insert(id, request);
         let service_time = self.functions[function_slot].service_time;
-        if timeout <= RESPONSE_MARGIN || self.overloaded(class, tenant, timeout as f64, service_time) {
+        let client_share = self.next_client_share.take().filter(|&(of, _)| of == id).map_or(1.0, |(_, s)| s);
+        let call = NewCall { class, tenant, timeout: timeout as f64, service_time, client_share };
+        if timeout <= RESPONSE_MARGIN || self.overloaded(&call) {
             return self.finish(id, out);
         }
         // Whatever else happens, this timer ends the request in time.
@@ -289,6 +295,18 @@
         self.place_queued(Some(function_slot), now, out);
     }
 
+    /// Counts a call that its client gave up before it could be done as one that has left at the usual pace.
+    /// Otherwise clients that leave early make the pace look so slow that all others are refused.
+    pub(crate) fn record_early_cancel(&mut self, now: Micros, id: RequestId) {
+        let Some(attempt) = self.requests.get(&id).and_then(|request| request.attempts.last()) else {
+            return;
+        };
+        let waited = now.saturating_sub(attempt.sent_at) as f64;
+        if attempt.open && waited < attempt.expected_time {
+            self.served += 1.0;
+        }
+    }
+
     /// Records a worker's load report, if there is one.
     pub(crate) fn record_report(&mut self, worker_slot: usize, now: Micros, inflight: Option<f64>) {
         if let Some(inflight) = inflight.filter(|count| count.is_finite()) {
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -214,6 +214,14 @@
         /// The new state.
         state: DiscoveryState,
     },
+    /// How the client of the request that follows stands among the other clients.
+    ClientShare {
+        /// The id of that request.
+        id: RequestId,
+        /// The requests that would be open if each client had at most as many open as this one, as a fraction
+        /// of those that are: 1 for the client with the most, little for one with few beside such clients.
+        share: f64,
+    },
     /// A client's request.
     Request {
         /// Its identifier.
--- a/src/state.rs
+++ b/src/state.rs
@@ -315,6 +315,8 @@
     pub(crate) function_bytes: usize,
     /// The function called last.
     pub(crate) last_called: usize,
+    /// The share of the client of the next request, and the id of that request.
+    pub(crate) next_client_share: Option<(RequestId, f64)>,
     /// Whether any worker has reported its load.
     pub(crate) load_reported: bool,
     /// When the fleet statistics were last refreshed.
@@ -354,9 +356,9 @@
     pub(crate) work_rate: f64,
     /// Service time of the calls served since the last refresh, in microseconds.
     pub(crate) work_done: f64,
-    /// Running mean of the calls served per second.
+    /// Running mean of the calls per second that were served, or given up by their clients before they could be.
     pub(crate) served_rate: f64,
-    /// Calls served since the last refresh.
+    /// Such calls since the last refresh.
     pub(crate) served: f64,
     /// Requests in flight at loaded copies, smoothed where calls are few.
     pub(crate) backlog: f64,
