Keep half of the memory budget for clients that hold less than an equal share

Callers saw their calls refused as the memory for requests was used up by whole requests of others, which cannot be taken back as unfinished ones can.

Change: half of the budget goes to whoever comes first, the other half to accounts that hold less than an equal share of it.

--- a/heronslip/src/memory.rs
+++ b/heronslip/src/memory.rs
@@ -1,8 +1,9 @@
 //! The memory budget: bounds the bytes that are kept for others, such as requests and unsent responses.
 //!
 //! A [`MemoryBudget`] is shared. An [`Account`] draws on it and may have a guaranteed part of its own, which it
-//! can use however much the others take. A [`Reservation`] holds bytes of an account and releases them when it
-//! is dropped.
+//! can use however much the others take. Beyond that, one half of the budget goes to whoever comes first, and
+//! the other half to accounts that hold less than an equal share of it. A [`Reservation`] holds bytes of an
+//! account and releases them when it is dropped.
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
@@ -10,8 +11,6 @@
 #[derive(Clone, Debug)]
 pub struct MemoryBudget {
     pool: Arc<Pool>,
-    /// The account of reservations that belong to no other.
-    common: Arc<Account>,
 }
 
 #[derive(Debug)]
@@ -22,16 +21,25 @@
     shared: AtomicUsize,
     /// Maximum of `shared`.
     limit: usize,
+    /// Accounts that are open.
+    accounts: AtomicUsize,
 }
 
 impl Pool {
-    /// Takes bytes beyond a guaranteed part; nothing if fewer are left.
-    fn take_shared(&self, bytes: usize) -> bool {
+    /// What an account may hold beyond its guaranteed part once half of the budget is used.
+    fn equal_share(&self) -> usize {
+        self.limit / 2 / self.accounts.load(Ordering::Relaxed).max(1)
+    }
+
+    /// Takes bytes beyond a guaranteed part for an account that will then hold `after` such bytes; nothing if
+    /// fewer are left.
+    fn take_shared(&self, bytes: usize, after: usize) -> bool {
         if bytes == 0 {
             return true;
         }
+        let limit = if after <= self.equal_share() { self.limit } else { self.limit / 2 };
         let before = self.shared.fetch_add(bytes, Ordering::Relaxed);
-        let fits = before.saturating_add(bytes) <= self.limit;
+        let fits = before.saturating_add(bytes) <= limit;
         if !fits {
             self.shared.fetch_sub(bytes, Ordering::Relaxed);
         }
@@ -42,19 +50,15 @@
 impl MemoryBudget {
     /// A budget of `limit` bytes.
     pub fn new(limit: usize) -> Self {
-        let pool = Arc::new(Pool { held: AtomicUsize::new(0), shared: AtomicUsize::new(0), limit });
-        let common = Arc::new(Account::new(pool.clone(), 0));
-        MemoryBudget { pool, common }
+        let [held, shared, accounts] = [0, 0, 0].map(AtomicUsize::new);
+        MemoryBudget { pool: Arc::new(Pool { held, shared, limit, accounts }) }
     }
 
     /// An account that can always hold `guaranteed` bytes, which do not count towards the budget.
     pub fn open_account(&self, guaranteed: usize) -> Arc<Account> {
-        Arc::new(Account::new(self.pool.clone(), guaranteed))
-    }
-
-    /// Reserves bytes, or nothing if fewer are available.
-    pub fn reserve(&self, bytes: usize) -> Option<Reservation> {
-        self.common.reserve(bytes)
+        self.pool.accounts.fetch_add(1, Ordering::Relaxed);
+        let balance = Mutex::new(Balance { held: 0, guaranteed, is_open: true });
+        Arc::new(Account { pool: self.pool.clone(), balance })
     }
 
     /// Bytes that are reserved now, guaranteed parts included.
@@ -75,6 +79,7 @@
 struct Balance {
     held: usize,
     guaranteed: usize,
+    is_open: bool,
 }
 
 impl Balance {
@@ -85,10 +90,6 @@
 }
 
 impl Account {
-    fn new(pool: Arc<Pool>, guaranteed: usize) -> Self {
-        Account { pool, balance: Mutex::new(Balance { held: 0, guaranteed }) }
-    }
-
     /// Reserves bytes, or nothing if fewer are available.
     pub fn reserve(self: &Arc<Self>, bytes: usize) -> Option<Reservation> {
         let mut reservation = Reservation { account: self.clone(), bytes: 0 };
@@ -100,9 +101,13 @@
         self.lock().held
     }
 
-    /// Ends the guarantee: what the account still holds counts towards the budget.
+    /// Closes the account, which ends the guarantee: what it still holds counts towards the budget.
     pub fn close(&self) {
         let mut balance = self.lock();
+        if !std::mem::take(&mut balance.is_open) {
+            return;
+        }
+        self.pool.accounts.fetch_sub(1, Ordering::Relaxed);
         let shared_before = balance.shared();
         balance.guaranteed = 0;
         self.pool.shared.fetch_add(balance.shared() - shared_before, Ordering::Relaxed);
@@ -116,7 +121,7 @@
     fn take(&self, bytes: usize) -> bool {
         let mut balance = self.lock();
         let after = Balance { held: balance.held + bytes, ..*balance };
-        let fits = self.pool.take_shared(after.shared() - balance.shared());
+        let fits = self.pool.take_shared(after.shared() - balance.shared(), after.shared());
         if fits {
             *balance = after;
             self.pool.held.fetch_add(bytes, Ordering::Relaxed);
