--- a/tests/client_shares.rs
+++ b/tests/client_shares.rs
@@ -25,7 +25,7 @@
 #[test]
 fn a_client_with_few_open_requests_is_not_refused_for_the_many_of_another() {
     let mut harness = overloaded();
-    harness.feed(Event::ClientShare { id: 201, share: 0.001 });
+    harness.feed(Event::ClientShare { id: 201, share: 0.000_1 });
     assert!(!is_refused(&harness.request(201, SAFE, FUNCTION)));
     assert!(is_refused(&harness.request(202, SAFE, FUNCTION)), "a share counts for one request");
     harness.feed(Event::ClientShare { id: 203, share: 1.0 });
