Read a connection no further than the core has come

Callers saw late answers and growing memory while one client sent requests and took them back at full speed.

Cause: a request that is taken back frees its place among the 32 of its connection at once, while its two messages wait in the core's queue, which nothing bounds.

Change: a connection with 32 requests that the core has not accepted is not read on until it has.

--- a/heronslip/src/connection_limiter.rs
+++ b/heronslip/src/connection_limiter.rs
@@ -46,6 +46,8 @@
     pub connection_id: u64,
     /// Memory of its requests and unsent responses.
     pub account: Arc<Account>,
+    /// Its requests that wait for the core.
+    pub queued_requests: Arc<AtomicUsize>,
     /// Memory of requests that have been read in part, in bytes.
     incomplete_bytes: AtomicUsize,
     /// Whether the client has closed the connection.
@@ -79,6 +81,12 @@
         self.hung_up.load(Ordering::Acquire)
     }
 
+    /// Whether more of its requests wait for the core than it may have open: those that were cancelled do so too.
+    /// It must not be read on until the core has caught up.
+    pub fn is_ahead_of_core(&self, limits: &Limits) -> bool {
+        self.queued_requests.load(Ordering::Acquire) >= limits.requests_per_connection
+    }
+
     /// Looks whether the client has closed the connection, however much of what it sent is unread.
     pub fn check_hang_up(&self, stream: &Socket) -> bool {
         if !self.has_hung_up() && stream.has_hung_up() {
@@ -160,6 +168,7 @@
         let activity = Arc::new(ClientActivity {
             connection_id: next_connection_id(),
             account: self.memory_budget.open_account(self.guaranteed_memory),
+            queued_requests: Arc::default(),
             incomplete_bytes: AtomicUsize::new(0),
             hung_up: AtomicBool::new(false),
             state,
--- a/heronslip/src/messages.rs
+++ b/heronslip/src/messages.rs
@@ -27,22 +27,35 @@
     }
 }
 
-/// Counts a request from its first byte until the core has accepted or answered it, so that a graceful
-/// shutdown waits for it.
+/// Counts a request from its first byte until the core has accepted or answered it: for all clients, so that a
+/// graceful shutdown waits for it, and once it is complete for its connection, which waits while the core has
+/// much to do.
 #[derive(Debug)]
-pub struct IncomingGuard(Arc<AtomicUsize>);
+pub struct IncomingGuard {
+    all: Arc<AtomicUsize>,
+    connection: Option<Arc<AtomicUsize>>,
+}
 
 impl IncomingGuard {
     /// Increments the counter until the guard is dropped.
     pub fn new(counter: &Arc<AtomicUsize>) -> Self {
         counter.fetch_add(1, Ordering::AcqRel);
-        IncomingGuard(counter.clone())
+        IncomingGuard { all: counter.clone(), connection: None }
+    }
+
+    /// Increments the counter of the requests of a connection that wait for the core, too.
+    pub fn count_as_queued(&mut self, connection: &Arc<AtomicUsize>) {
+        connection.fetch_add(1, Ordering::AcqRel);
+        self.connection = Some(connection.clone());
     }
 }
 
 impl Drop for IncomingGuard {
     fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
+        self.all.fetch_sub(1, Ordering::AcqRel);
+        if let Some(connection) = &self.connection {
+            connection.fetch_sub(1, Ordering::AcqRel);
+        }
     }
 }
 
--- a/heronslip/src/server/fastcgi/reader.rs
+++ b/heronslip/src/server/fastcgi/reader.rs
@@ -41,6 +41,7 @@
         let mut records = RecordReader::new();
         let mut last_check = Instant::now();
         loop {
+            self.context.wait_for_core(&self.connection.activity);
             match ring.read_from(&mut self.stream) {
                 Ok(0) => return Ok(()),
                 Ok(_) => {}
@@ -254,7 +255,7 @@
     /// Passes a complete request to the core, or answers it at once.
     fn complete_request(&mut self, id: u16, partial: PartialRequest) -> Result<(), String> {
         let received_at = Instant::now();
-        let PartialRequest { params, body, keep_connection, reservation, incoming, .. } = partial;
+        let PartialRequest { params, body, keep_connection, reservation, mut incoming, .. } = partial;
         let Ok(parameters) = Parameters::decode(&params) else {
             self.connection.reject(id, Rejection::Invalid(TRUNCATED_PAIR), keep_connection);
             return Ok(());
@@ -284,6 +285,7 @@
         let open = OpenRequest { sequence: self.last_sequence, close: !keep_connection, response_room };
         self.connection.requests.lock().map_err(|_| POISONED)?.open.insert(id, open);
         self.connection.activity.request_opened();
+        incoming.count_as_queued(&self.connection.activity.queued_requests);
         let (reservation, incoming) = (Some(reservation), Some(incoming));
         let request = Request { received_at, reservation, incoming, ..request };
         let (client, tag) = (self.connection.clone(), request_tag(self.last_sequence, id));
--- a/heronslip/src/server/kserve.rs
+++ b/heronslip/src/server/kserve.rs
@@ -217,6 +217,7 @@
         stream.set_read_timeout(limits.client_check_interval).map_err(|e| e.to_string())?;
         loop {
             activity.set_reading_request(partial_request.is_some());
+            self.context.wait_for_core(activity);
             match ring.read_from(&mut stream) {
                 Ok(0) => return Ok(()),
                 Ok(_) => {}
@@ -418,7 +419,9 @@
         };
         match parse_request(name, body, &self.context.limits) {
             Ok(request) => {
-                let incoming = Some(IncomingGuard::new(&self.context.incoming_requests));
+                let mut incoming = IncomingGuard::new(&self.context.incoming_requests);
+                incoming.count_as_queued(&activity.queued_requests);
+                let incoming = Some(incoming);
                 let request = Request { received_at, reservation: Some(reservation), incoming, ..request };
                 activity.request_opened();
                 self.connection.set_room(tag, room);
--- a/heronslip/src/server/mod.rs
+++ b/heronslip/src/server/mod.rs
@@ -30,6 +30,8 @@
 const EXHAUSTED_DELAY: Duration = Duration::from_millis(10);
 /// Delay before accepting again after any other error.
 const ACCEPT_ERROR_DELAY: Duration = Duration::from_millis(1);
+/// How often a connection that is ahead of the core checks whether that has caught up.
+const CORE_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 /// Memory of a request that the core has besides its body and its response, in bytes: its records in the core,
 /// the controller and the transport, its timers and its messages.
 const REQUEST_BYTES: usize = 1_280;
@@ -67,6 +69,13 @@
         Outbox::new(stream, permit, &self.limits, &self.unsent_bytes)
     }
 
+    /// Waits while the core has not accepted what this connection has sent.
+    pub fn wait_for_core(&self, activity: &ClientActivity) {
+        while activity.is_ahead_of_core(&self.limits) && !activity.has_hung_up() {
+            pause(CORE_CHECK_INTERVAL);
+        }
+    }
+
     /// Reserves the memory of a request that is passed to the core, and that of its response: a request that
     /// may run must have room for its final response. `read` is what was reserved while it was read, and
     /// `body` the bytes that its body takes. `None` if there is no room.
--- a/heronslip/tests/clients.rs
+++ b/heronslip/tests/clients.rs
@@ -190,3 +190,24 @@
     sender.join().expect("no panic");
     assert!(matches!(message, Ok(Message::ClientDisconnected { .. })), "the server reads on");
 }
+
+/// Guards against a queue without bound: a client takes its requests back at once, and sends the next ones while
+/// the core has not got to the first.
+#[test]
+fn a_client_that_takes_requests_back_is_not_read_further_than_the_core_has_come() {
+    const ABORT_REQUEST: u8 = 2;
+    const SENT: usize = 400;
+    let (context, queue) = test_context(|_| ());
+    let mut client = connect(start_fastcgi_server(&context));
+    let request = fastcgi_call(1, "00000000000000a1", "9000", "x");
+    client
+        .write_all(&[request, fastcgi_record(ABORT_REQUEST, 1, &[])].concat().repeat(SENT))
+        .expect("written");
+    // Requests that are kept here wait for the core.
+    let quiet = Duration::from_millis(300);
+    let queued: Vec<Message> = std::iter::from_fn(|| queue.recv_timeout(quiet).ok()).collect();
+    assert!(queued.len() < 4 * context.limits.requests_per_connection, "{} messages", queued.len());
+    drop(queued);
+    let rest = std::iter::from_fn(|| queue.recv_timeout(quiet).ok());
+    assert!(rest.count() > SENT, "the rest is read once the core has caught up");
+}
