Count a process that was not listed before as started since then

Cause: start times are compared within one update. Where the clock that stamps them was stepped back between two starts that one update tells of, the later process looks old by the step. A process that takes over the address of another, listed under a new id without a start time, counted as started long ago.

Change: no process that was not known counts as older than the time when the list was last known to be up to date, if it states a start or takes over an address that was known.

Looked at without a fault by reading: repeats in the scopes zone and cell (the scope of a worker that has gone is kept), transports that still connect when their address is taken over (retired before they write).

--- a/heronslip/src/core/mod.rs
+++ b/heronslip/src/core/mod.rs
@@ -18,7 +18,8 @@
 use crate::worker::{new_transport, ReportSender};
 use client_shares::ClientShares;
 use heronslip_policy::{
-    Action, Controller, Event, FunctionId, Micros, Outcome, RetrySafety, Settings, WorkerEntry, WorkerState,
+    Action, Controller, DiscoveryState, Event, FunctionId, Micros, Outcome, RetrySafety, Settings,
+    WorkerEntry, WorkerState,
 };
 use miniserde::json::{self, Number, Object, Value};
 use start_times::StartTimes;
@@ -118,6 +119,8 @@
     /// Last id given to a request, load command, copy query or probe.
     last_id: u64,
     last_liveness_check: Micros,
+    /// When the list of the discovery service was last known to be up to date; 0: never.
+    list_current_at: Micros,
     requests: HashMap<u64, OpenRequest>,
     /// Core ids of unanswered requests by client connection and tag.
     requests_by_client: BTreeMap<(u64, u64), u64>,
@@ -156,6 +159,7 @@
             shared,
             last_id: 0,
             last_liveness_check: 0,
+            list_current_at: 0,
             requests: HashMap::new(),
             requests_by_client: BTreeMap::new(),
             client_shares: ClientShares::new(),
@@ -240,7 +244,12 @@
             Message::AttemptEnded { key, report } => self.attempt_ended(key, report),
             Message::LoadEnded { command, outcome, copies } => self.load_ended(command, outcome, copies),
             Message::ProbeEnded { probe, outcome, inflight } => self.probe_ended(probe, outcome, inflight),
-            Message::Discovery(state) => self.events.push_back(Event::Discovery { state }),
+            Message::Discovery(state) => {
+                if state == DiscoveryState::Current {
+                    self.list_current_at = self.clock.now();
+                }
+                self.events.push_back(Event::Discovery { state });
+            }
             Message::WorkerList { source, full, workers } => self.update_worker_list(source, full, workers),
             Message::Inspect { reply } => {
                 let _ = reply.send(self.state_json()); // the requester may be gone
@@ -651,7 +660,8 @@
             listed.extend(gone);
         }
         listed.splice(0..0, self.workers.displaced_by(source, &listed));
-        let start_times = StartTimes::new(self.clock.now(), &listed);
+        let known = self.workers.values().map(|worker| &worker.listing);
+        let start_times = StartTimes::new(self.clock.now(), self.list_current_at, &listed, known);
         let not_logged = listed.len().saturating_sub(MAX_LOGGED_WORKERS);
         let mut entries = Vec::with_capacity(listed.len());
         for (index, listing) in listed.into_iter().enumerate() {
@@ -679,8 +689,8 @@
         }
         let position = |names: &[String], name: &str| heronslip_policy::json::index_of(names, Some(name));
         let same_process = known.as_ref().filter(|worker| worker.listing.started_at == listing.started_at);
-        let started_at = same_process
-            .map_or_else(|| start_times.local_time(listing.started_at), |worker| worker.started_at);
+        let started_at =
+            same_process.map_or_else(|| start_times.of_new_process(&listing), |worker| worker.started_at);
         let entry = WorkerEntry {
             worker: listing.id.clone(),
             state: listing.state,
--- a/heronslip/tests/wall_clock.rs
+++ b/heronslip/tests/wall_clock.rs
@@ -6,7 +6,9 @@
 use common::{
     connect, fastcgi_call, instance, read_fastcgi_response, send_event, ProgramConfig, TestProgram, SETTINGS,
 };
+use rstest::rstest;
 use std::io::Write;
+use std::net::SocketAddr;
 use std::sync::atomic::Ordering;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -62,3 +64,56 @@
     let [old, new] = calls_after_a_start(HOUR_MS, &settings, Duration::from_millis(400));
     assert!(new > old / 4, "{new} calls to the worker that is warm by now, {old} to the other");
 }
+
+/// Sends 100 calls after an event that gives these entries, on a program that knows two workers, and returns how
+/// many each of the three workers received.
+fn calls_after_an_event(entries: impl Fn([SocketAddr; 3]) -> Vec<String>) -> [usize; 3] {
+    let settings = SETTINGS
+        .replace(r#""warm-within":17000"#, r#""warm-within":1800000"#)
+        .replace(r#""cold-from":0.2"#, r#""cold-from":0"#)
+        .replace(r#""fall-multiple":2"#, r#""fall-multiple":0.01"#);
+    let workers = [(); 3].map(|()| counting_worker());
+    let addresses = [0, 1, 2].map(|n| workers[n].0);
+    let (listener, discovery_server) = bind_discovery_server();
+    let program = TestProgram::with(ProgramConfig {
+        settings,
+        workers: addresses[..2].to_vec(),
+        discovery_server,
+        ..ProgramConfig::default()
+    });
+    let (mut stream, _) = accept_request(&listener);
+    stream.write_all(format!("{RESPONSE_HEAD}:\n\n").as_bytes()).expect("written");
+    program.wait_for_log("discovery: the worker list is up to date");
+    send_event(&mut stream, 2, false, &entries(addresses));
+    program.wait_for_worker("new", "ready", "it is listed");
+    let mut client = connect(program.fastcgi);
+    for id in 1..=100 {
+        client.write_all(&fastcgi_call(1, &format!("{id:016x}"), "900", "x")).expect("written");
+        let (head, _, _) = read_fastcgi_response(&mut client).expect("a response");
+        assert!(head.starts_with("Status: 200"), "{head}");
+    }
+    workers.map(|(_, calls)| calls.load(Ordering::Acquire))
+}
+
+/// Guards against too many calls to a cold worker: the clock that stamps starts was stepped back between two of
+/// them, so that the worker that started last looks old beside the other.
+#[rstest]
+#[case::by_seconds(60_000)]
+#[case::by_an_hour(HOUR_MS as u64)]
+fn a_new_worker_is_cold_though_the_clock_was_stepped_back_before_it_started(#[case] step_ms: u64) {
+    let unix = SystemTime::now().duration_since(UNIX_EPOCH).expect("after 1970").as_millis() as u64;
+    let [_, other, new] = calls_after_an_event(|[_, other, new]| {
+        vec![instance("w1", other, "ready", unix), instance("new", new, "ready", unix - step_ms)]
+    });
+    assert!(other <= 5 && new <= 5, "{other} and {new} calls to cold workers");
+}
+
+/// Guards against too many calls to a cold worker: its process is told apart from the one that had its address
+/// by its id alone.
+#[test]
+fn a_worker_that_takes_over_an_address_is_cold() {
+    let [_, taken_over, _] = calls_after_an_event(|[_, other, _]| {
+        vec![instance("w1", other, "gone", 0), instance("new", other, "ready", 0)]
+    });
+    assert!(taken_over <= 5, "{taken_over} calls to the new worker");
+}
