Bound the memory of replies that have arrived in part

Related path of the incident's class: replies of workers were bounded for each connection (1 MB, twice that with the spare room of its buffer), not over all 400 to 600 connections to workers.

Change: they draw on the memory budget, with a guaranteed sixteenth of the memory; a connection whose reply does not fit closes. A frame's body is no longer copied out of its buffer.

Measured: transport::replies_that_arrive_in_part_stay_within_their_memory: eight workers with 400,000 bytes of a reply each, 1 MB allowed; before, none of them was counted (the test needs the new account). Not counted: whole replies between their reader and the client's connection, one for each open attempt.

--- a/heronslip/src/lib.rs
+++ b/heronslip/src/lib.rs
@@ -73,7 +73,8 @@
         .hang_ups
         .start(context.connection_limiter.clone(), queue.clone())
         .map_err(|e| format!("cannot watch client connections: {e}"))?;
-    let reports = worker::ReportSender(queue.clone());
+    let reply_memory = context.memory_budget.open_account(limits.reply_bytes);
+    let reports = worker::ReportSender::new(queue.clone(), reply_memory);
     let core = Core::new(config.settings, config.seed, limits.clone(), inbox, reports, shared);
     // A panic leaves the controller half-changed, and a front end without its core must not continue.
     std::thread::Builder::new()
--- a/heronslip/src/limits.rs
+++ b/heronslip/src/limits.rs
@@ -27,7 +27,7 @@
     pub buffered_bytes: usize,
     /// Memory in bytes that the requests and unsent responses of each client connection can always take.
     pub guaranteed_per_connection: usize,
-    /// Maximum memory of replies that have arrived in part, over all worker connections, in bytes.
+    /// Memory in bytes that replies of workers that have arrived in part can always take together.
     pub reply_bytes: usize,
     /// Maximum memory of the functions that the controller remembers, in bytes.
     pub function_bytes: usize,
--- a/heronslip/src/worker/frames/codec.rs
+++ b/heronslip/src/worker/frames/codec.rs
@@ -82,6 +82,11 @@
         !self.partial.is_empty()
     }
 
+    /// Memory of what has been read of the next frame, in bytes.
+    pub fn memory(&self) -> usize {
+        self.partial.capacity()
+    }
+
     /// The next complete frame, or why the stream is invalid.
     pub fn next_frame(&mut self, ring: &mut RingBuffer, max_body: usize) -> Result<Option<Frame>, String> {
         if self.partial.len() < HEADER_BYTES {
@@ -103,13 +108,15 @@
         if self.partial.len() < frame_length {
             return Ok(None);
         }
-        let frame = std::mem::take(&mut self.partial);
+        let mut frame = std::mem::take(&mut self.partial);
         let (content, checksum) = frame[HEADER_BYTES..].split_at(fields_length + body_length);
         if crc32fast::hash(content).to_be_bytes() != *checksum {
             return Err("checksum mismatch".to_owned());
         }
         let fields = String::from_utf8_lossy(&content[..fields_length]).into_owned();
-        Ok(Some(Frame { code, id, fields, body: content[fields_length..].to_vec() }))
+        frame.truncate(HEADER_BYTES + fields_length + body_length);
+        frame.drain(..HEADER_BYTES + fields_length);
+        Ok(Some(Frame { code, id, fields, body: frame }))
     }
 }
 
--- a/heronslip/src/worker/frames/reader.rs
+++ b/heronslip/src/worker/frames/reader.rs
@@ -5,7 +5,7 @@
 use crate::messages::{AttemptReport, Payload};
 use crate::net::{is_timeout, Socket};
 use crate::ring::RingBuffer;
-use crate::worker::ReportSender;
+use crate::worker::{resize_reply, ReportSender};
 use heronslip_policy::Outcome;
 use std::sync::atomic::Ordering;
 use std::time::Instant;
@@ -16,6 +16,7 @@
 ) -> Result<(), String> {
     let (mut ring, mut decoder) = (RingBuffer::new(limits.worker_buffer), Decoder::default());
     stream.set_read_timeout(limits.reply_stall_timeout).map_err(|e| e.to_string())?;
+    let mut memory = reports.reply_memory().map_err(|e| e.to_string())?;
     let end = loop {
         match ring.read_from(&mut stream) {
             Ok(0) => break Ok(()),
@@ -32,6 +33,9 @@
             // Frame boundaries are lost after an invalid frame, so nothing that follows it can be decoded.
             Err(why) => break Err(format!("invalid frame: {why}")),
         }
+        if let Err(e) = resize_reply(&mut memory, decoder.memory()) {
+            break Err(e.to_string());
+        }
     };
     stream.close();
     end
--- a/heronslip/src/worker/kserve.rs
+++ b/heronslip/src/worker/kserve.rs
@@ -1,7 +1,7 @@
 //! KServe v2 over HTTP/1.1 to one worker. Each connection carries one exchange at a time. Load commands, copy
 //! queries and unloads use the model repository extension.
 use super::frames::StartCondition;
-use super::{ConnectionUsage, ReportSender, Transport};
+use super::{resize_reply, ConnectionUsage, ReportSender, Transport};
 use crate::coop::{Budget, Group};
 use crate::http::{ChunkedDecoder, ChunkedItem, Head};
 use crate::limits::Limits;
@@ -430,7 +430,9 @@
         let mut chunks = ChunkedDecoder::default();
         let mut last_read = Instant::now();
         let mut budget = Budget::new(Group::Workers);
+        let mut memory = self.reports.reply_memory().map_err(|e| e.to_string())?;
         loop {
+            resize_reply(&mut memory, head_bytes.capacity() + body.capacity()).map_err(|e| e.to_string())?;
             if let Some(head) = head.as_ref() {
                 let complete = match head.length {
                     Some(length) => {
--- a/heronslip/src/worker/mod.rs
+++ b/heronslip/src/worker/mod.rs
@@ -4,6 +4,7 @@
 pub mod kserve;
 
 use crate::limits::Limits;
+use crate::memory::{Account, Reservation};
 use crate::messages::{AttemptKey, AttemptReport, Message, Request, WorkerProtocol};
 use heronslip_policy::{FunctionId, Micros, Outcome};
 use std::net::SocketAddr;
@@ -11,27 +12,54 @@
 use std::sync::Arc;
 use std::time::Instant;
 
-/// Sends the transports' reports to the core's queue.
+/// What the transports of all workers share: the core's queue, to which they report, and the memory for replies
+/// that have arrived in part.
 #[derive(Clone)]
-pub struct ReportSender(pub Sender<Message>);
+pub struct ReportSender {
+    queue: Sender<Message>,
+    reply_memory: Arc<Account>,
+}
 
 impl ReportSender {
+    /// Reports go to this queue, and replies draw on this account.
+    pub fn new(queue: Sender<Message>, reply_memory: Arc<Account>) -> Self {
+        ReportSender { queue, reply_memory }
+    }
+
+    /// Memory for the replies on one connection; none is reserved yet.
+    ///
+    /// # Errors
+    /// Fails if there is no memory at all.
+    pub fn reply_memory(&self) -> Result<Reservation, OutOfReplyMemory> {
+        self.reply_memory.reserve(0).ok_or(OutOfReplyMemory)
+    }
+
     /// Reports that an attempt ended.
     pub fn attempt_ended(&self, key: AttemptKey, report: AttemptReport) {
-        let _ = self.0.send(Message::AttemptEnded { key, report }); // fails only while the process exits
+        let _ = self.queue.send(Message::AttemptEnded { key, report }); // fails only while the process exits
     }
 
     /// Reports that a load command or a copy query ended, with the number of loaded copies.
     pub fn load_ended(&self, command: u64, outcome: Outcome, copies: u32) {
-        let _ = self.0.send(Message::LoadEnded { command, outcome, copies });
+        let _ = self.queue.send(Message::LoadEnded { command, outcome, copies });
     }
 
     /// Reports that a probe ended, with the number of requests in flight where the worker reported it.
     pub fn probe_ended(&self, probe: u64, outcome: Outcome, inflight: Option<f64>) {
-        let _ = self.0.send(Message::ProbeEnded { probe, outcome, inflight });
+        let _ = self.queue.send(Message::ProbeEnded { probe, outcome, inflight });
     }
 }
 
+/// There is no memory for the rest of a reply. Its connection closes, since nothing after it can be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the memory budget for replies is exhausted")]
+pub struct OutOfReplyMemory;
+
+/// Reserves what a reply that has arrived in part takes now.
+fn resize_reply(reservation: &mut Reservation, bytes: usize) -> Result<(), OutOfReplyMemory> {
+    reservation.resize(bytes).then_some(()).ok_or(OutOfReplyMemory)
+}
+
 /// How many connections a transport uses.
 #[derive(Clone, Copy, Debug)]
 pub struct ConnectionUsage {
--- a/heronslip/tests/client_disconnects.rs
+++ b/heronslip/tests/client_disconnects.rs
@@ -4,13 +4,13 @@
 use common::bad_clients::sound_call;
 use common::stand_ins::{counting_worker, saturated_listener, silent_worker};
 use common::{
-    connect, fastcgi_call, read_fastcgi_response, reply_frame, serve_connections, test_context, CommandFrame,
-    ProgramConfig, ScriptedWorker, TestProgram, TIMEOUT,
+    connect, fastcgi_call, read_fastcgi_response, reply_frame, report_sender, serve_connections,
+    test_context, CommandFrame, ProgramConfig, ScriptedWorker, TestProgram, TIMEOUT,
 };
 use heronslip::limits::Limits;
 use heronslip::messages::{AttemptKey, Message, Payload, Request};
 use heronslip::server::fastcgi;
-use heronslip::worker::{frames::FrameTransport, ReportSender, Transport};
+use heronslip::worker::{frames::FrameTransport, Transport};
 use rstest::rstest;
 use std::collections::BTreeSet;
 use std::io::{Read, Write};
@@ -38,7 +38,7 @@
     limits.connect_timeout = Duration::from_secs(60);
     heronslip::net::configure_scheduler(&limits);
     let (queue, _reports) = mpsc::channel();
-    let mut transport = FrameTransport::new(address, Arc::new(limits), ReportSender(queue));
+    let mut transport = FrameTransport::new(address, Arc::new(limits), report_sender(queue));
     let request = Request {
         wire_id: 9,
         class: "tile-render".to_owned(),
--- a/heronslip/tests/common/mod.rs
+++ b/heronslip/tests/common/mod.rs
@@ -49,6 +49,7 @@
 use heronslip::messages::Message;
 use heronslip::net::Socket;
 use heronslip::server::{accept_connections, Acceptor, ServerContext};
+use heronslip::worker::ReportSender;
 use std::time::{Duration, Instant};
 
 /// The function that all calls name.
@@ -790,6 +791,11 @@
     (context, queue)
 }
 
+/// Reports of transports whose replies may take any memory.
+pub fn report_sender(queue: Sender<Message>) -> ReportSender {
+    ReportSender::new(queue, MemoryBudget::new(usize::MAX).open_account(0))
+}
+
 /// Starts a FastCGI server with this context, and returns its address.
 pub fn start_fastcgi_server(context: &ServerContext) -> SocketAddr {
     start_server(context, heronslip::server::fastcgi::serve)
--- a/heronslip/tests/fairness.rs
+++ b/heronslip/tests/fairness.rs
@@ -2,12 +2,13 @@
 mod common;
 
 use common::{
-    connect, fastcgi_call, fastcgi_record, reply_frame, start_fastcgi_server, test_context, TIMEOUT,
+    connect, fastcgi_call, fastcgi_record, reply_frame, report_sender, start_fastcgi_server, test_context,
+    TIMEOUT,
 };
 use heronslip::limits::Limits;
 use heronslip::messages::Message;
 use heronslip::worker::frames::FrameTransport;
-use heronslip::worker::{ReportSender, Transport};
+use heronslip::worker::Transport;
 use heronslip_policy::Settings;
 use std::io::Write;
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
@@ -134,7 +135,7 @@
     for command in 0..BUSY_PEERS {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
         let address = listener.local_addr().expect("bound");
-        let mut transport = FrameTransport::new(address, limits.clone(), ReportSender(reports.clone()));
+        let mut transport = FrameTransport::new(address, limits.clone(), report_sender(reports.clone()));
         transport.send_load(command, 7, 1, None);
         flood.send(std::iter::once(listener.accept().expect("a connection").0), &[], &replies);
         transports.push(transport);
--- a/heronslip/tests/transport.rs
+++ b/heronslip/tests/transport.rs
@@ -2,9 +2,10 @@
 //! connections.
 mod common;
 
-use common::code;
 use common::stand_ins::saturated_listener;
+use common::{code, report_sender};
 use heronslip::limits::Limits;
+use heronslip::memory::MemoryBudget;
 use heronslip::messages::{AttemptKey, Message, Payload, Request};
 use heronslip::worker::frames::{encode, FrameTransport, RemovedFrames, StartCondition, WriteQueue};
 use heronslip::worker::kserve::KserveTransport;
@@ -19,7 +20,7 @@
 /// A transport to this address. It runs on one scheduler thread, as in the program.
 fn frame_transport(address: SocketAddr, limits: Limits, reports: mpsc::Sender<Message>) -> FrameTransport {
     heronslip::net::configure_scheduler(&limits);
-    FrameTransport::new(address, Arc::new(limits), ReportSender(reports))
+    FrameTransport::new(address, Arc::new(limits), report_sender(reports))
 }
 
 /// Rule 3 (a worker that drains gets no new work): a load command that still waits for its connection is not
@@ -106,7 +107,7 @@
 
 fn kserve(address: SocketAddr, limits: Limits, reports: mpsc::Sender<Message>) -> Box<dyn Transport> {
     heronslip::net::configure_scheduler(&limits);
-    Box::new(KserveTransport::new(address, Arc::new(limits), ReportSender(reports)))
+    Box::new(KserveTransport::new(address, Arc::new(limits), report_sender(reports)))
 }
 
 /// Guards against requests that run twice: an attempt waits for its connection until after its start deadline,
@@ -312,7 +313,7 @@
     let limits = Limits::new(192, 1024, &Settings::default());
     heronslip::net::configure_scheduler(&limits);
     let (queue, _reports) = mpsc::channel();
-    let mut transport = KserveTransport::new(address, Arc::new(limits), ReportSender(queue));
+    let mut transport = KserveTransport::new(address, Arc::new(limits), report_sender(queue));
     let mut request = request(9);
     Arc::get_mut(&mut request).expect("not shared yet").payload = payload;
     // Sent as 60,000 ms: rounding up would tell the worker of more time than is left.
@@ -338,3 +339,33 @@
     let body = String::from_utf8(body).expect("text");
     assert!(heronslip_policy::json::parse(&body).is_ok(), "{body}");
 }
+
+/// Guards against memory over the limit: many workers send a part of a large reply each. Connections whose replies
+/// do not fit close; the others go on.
+#[test]
+fn replies_that_arrive_in_part_stay_within_their_memory() {
+    const REPLY_MEMORY: usize = 1 << 20;
+    const WORKERS: u64 = 8;
+    let mut limits = Limits::new(192, 1024, &Settings::default());
+    limits.reply_stall_timeout = Duration::from_secs(3_600);
+    heronslip::net::configure_scheduler(&limits);
+    let limits = Arc::new(limits);
+    let (budget, (queue, reports)) = (MemoryBudget::new(REPLY_MEMORY), mpsc::channel());
+    let sender = ReportSender::new(queue, budget.open_account(0));
+    let mut open = Vec::new();
+    for id in 1..=WORKERS {
+        let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
+        let address = listener.local_addr().expect("bound");
+        let mut transport = FrameTransport::new(address, limits.clone(), sender.clone());
+        transport.send_attempt(AttemptKey { request: id, attempt: 0 }, &request(id), 60_000_000, None);
+        let (mut stream, _) = listener.accept().expect("a connection");
+        assert_eq!(read_command(&mut stream).0, code::CALL);
+        let part = &common::reply_frame(code::OK, id, "", &vec![b'r'; 600_000])[..400_000];
+        let _ = stream.write_all(part); // the connection may close first
+        open.push((transport, stream));
+    }
+    for _ in 0..WORKERS / 2 {
+        assert_eq!(attempt_end(&reports).1, Outcome::Reset);
+    }
+    assert!(budget.used() <= REPLY_MEMORY, "{} bytes", budget.used());
+}
