--- a/scale/src/node/wire.rs
+++ b/scale/src/node/wire.rs
@@ -44,6 +44,15 @@
     out
 }
 
+/// Encodes a request without the records that end its parameters and its body; each must fit in one record.
+pub fn encode_unfinished_request(id: u16, params: &[u8], body: &[u8]) -> Vec<u8> {
+    let mut out = Vec::new();
+    push_record(BEGIN_REQUEST, id, &[0, RESPONDER, KEEP_CONNECTION, 0, 0, 0, 0, 0], &mut out);
+    push_record(PARAMS, id, params, &mut out);
+    push_record(STDIN, id, body, &mut out);
+    out
+}
+
 /// Encodes the record that aborts a request.
 pub fn encode_abort(id: u16) -> Vec<u8> {
     let mut out = Vec::new();
--- a/scale/src/soak/config.rs
+++ b/scale/src/soak/config.rs
@@ -34,6 +34,10 @@
     pub work_ms: [f64; 2],
     /// Calls that a worker runs at the same time.
     pub lanes: [u32; 2],
+    /// Limits on the memory of front ends, in MB; each scenario uses one of them.
+    pub memory_mb: Vec<u64>,
+    /// Limits on the descriptors of front ends; each scenario uses one of them.
+    pub descriptors: Vec<u64>,
     /// Longest timeouts of the classes, in milliseconds; each scenario uses one of them for all classes.
     #[serde(rename = "give_up_ms")]
     pub client_timeouts_ms: Vec<u64>,
@@ -79,7 +83,7 @@
     pub moves: u32,
     /// Bursts of misbehaving clients.
     pub crowds: u32,
-    /// Floods of short requests by a few clients.
+    /// Clients that send more than their share: a few at full speed, or hundreds with large requests.
     pub floods: u32,
 }
 
@@ -118,6 +122,8 @@
             () if self.lanes[0] == 0 || self.lanes[0] > self.lanes[1] => {
                 fail("lanes must be a range of positive numbers")
             }
+            () if self.memory_mb.is_empty() => fail("memory_mb must not be empty"),
+            () if self.descriptors.is_empty() => fail("descriptors must not be empty"),
             () if self.client_timeouts_ms.is_empty() => fail("give_up_ms must not be empty"),
             () => Ok(()),
         }
--- a/scale/src/soak/record.rs
+++ b/scale/src/soak/record.rs
@@ -159,7 +159,7 @@
         front_end: usize,
         /// Open file descriptors.
         descriptors: u64,
-        /// Resident memory, in MB.
+        /// Most resident memory since the process started, in MB.
         memory_mb: f64,
     },
     /// The worker list changed.
--- a/scale/src/soak/run.rs
+++ b/scale/src/soak/run.rs
@@ -40,8 +40,6 @@
 /// Time at the end for pending requests to complete, in addition to the longest client timeout.
 const COMPLETION_MARGIN: Duration = Duration::from_millis(900);
 // Limits and settings of the front ends; the checker judges by the same values.
-const MAX_DESCRIPTORS: u64 = 512;
-const MAX_MEMORY_MB: f64 = 96.0;
 const DEDUP_WINDOW_MS: u64 = 1_500;
 const WARM_UP_TIME_MS: u64 = 6_000;
 const OVERLOAD_WINDOW_MS: u64 = 3_000;
@@ -50,7 +48,7 @@
 const DRAIN_GRACE_MS: u64 = 1_000;
 const MAX_ATTEMPTS: usize = 3;
 /// The classes of requests: safe to retry, deduplicated, and unsafe to retry.
-const CLASSES: [&str; 3] = ["lookup", "confirm", "once"];
+pub(super) const CLASSES: [&str; 3] = ["lookup", "confirm", "once"];
 const NANOS_PER_SECOND: i64 = 1_000_000_000;
 /// Spreads the seeds of runs, so that front ends of different runs get different seeds: 2^64 divided by the
 /// golden ratio.
@@ -304,8 +302,8 @@
             cold_capacity: COLD_CAPACITY,
             warm_up_time: WARM_UP_TIME_MS * MICROS_PER_MS,
             capacity_per_s: f64::from(self.scenario.lanes) / (self.scenario.work as f64 / 1e6),
-            max_descriptors: MAX_DESCRIPTORS,
-            max_memory_mb: MAX_MEMORY_MB,
+            max_descriptors: self.scenario.descriptors,
+            max_memory_mb: self.scenario.memory_mb as f64,
         }
     }
 
@@ -319,8 +317,10 @@
         let (version, configured_list) = self.discovery.configured_list(number);
         let seed = self.scenario.seed.wrapping_mul(SEED_MULTIPLIER) ^ self.recorder.now();
         let text = format!(
-            r#"{{"name":"n{number}","listen":"{}","seed":"{seed:016x}","limits":{{"cores":1.0,"memory_mb":{MAX_MEMORY_MB},"sockets":{MAX_DESCRIPTORS}}},"board":"{discovery_address}","known":{configured_list},"settings":{}}}"#,
+            r#"{{"name":"n{number}","listen":"{}","seed":"{seed:016x}","limits":{{"cores":1.0,"memory_mb":{},"sockets":{}}},"board":"{discovery_address}","known":{configured_list},"settings":{}}}"#,
             front_end.listen,
+            self.scenario.memory_mb,
+            self.scenario.descriptors,
             self.settings(number)
         );
         std::fs::write(&front_end.config, text)?;
@@ -378,7 +378,7 @@
                 self.recorder.record(Event::ResourceUsage {
                     front_end: number,
                     descriptors: usage.descriptors as u64,
-                    memory_mb: usage.memory_mb,
+                    memory_mb: usage.peak_mb,
                 });
             }
             tokio::time::sleep(USAGE_POLL_INTERVAL).await;
@@ -430,11 +430,11 @@
                     tokio::spawn(bad_client(front_end, address, self.client_settings.clone(), kind));
                 }
             }
-            Fault::Flood { front_end, clients, span } => {
+            Fault::Flood { front_end, kind, clients, span } => {
                 let address = self.front_ends[front_end].listen;
                 for client in 0..clients {
                     let seed = self.scenario.seed ^ client << 32;
-                    tokio::spawn(flood(address, Duration::from_micros(span), seed));
+                    tokio::spawn(flood(address, kind, Duration::from_micros(span), seed));
                 }
             }
         }
--- a/scale/src/soak/scenario.rs
+++ b/scale/src/soak/scenario.rs
@@ -1,5 +1,6 @@
 //! Scenarios: the size, load and faults of a run, drawn from a seed before it begins.
 use super::config::SoakConfig;
+use super::flood::FloodKind;
 use super::record::{Micros, Outage};
 use heronslip_shim_control::{FailureRates, SystemCall, SYSTEM_CALLS};
 use rand::seq::IndexedRandom;
@@ -125,10 +126,12 @@
         /// Number of clients.
         clients: usize,
     },
-    /// Clients send short requests as fast as they are answered, and close with answers unread.
+    /// Clients send more than their share.
     Flood {
         /// The front end.
         front_end: usize,
+        /// What they send.
+        kind: FloodKind,
         /// Number of clients.
         clients: u64,
         /// Duration.
@@ -156,6 +159,10 @@
     pub work: Micros,
     /// Calls that a worker runs at the same time.
     pub lanes: u32,
+    /// Limit on each front end's memory, in MB.
+    pub memory_mb: u64,
+    /// Limit on each front end's descriptors.
+    pub descriptors: u64,
     /// Longest timeout of a client, in milliseconds.
     #[serde(rename = "give_up_ms")]
     pub client_timeout_ms: u64,
@@ -185,6 +192,8 @@
             calls_per_s: sampler.rng.random_range(config.calls_per_s[0]..=config.calls_per_s[1]),
             work: (sampler.rng.random_range(config.work_ms[0]..=config.work_ms[1]) * 1e3) as Micros,
             lanes: sampler.rng.random_range(config.lanes[0]..=config.lanes[1]),
+            memory_mb: *config.memory_mb.choose(&mut sampler.rng).expect("checked"),
+            descriptors: *config.descriptors.choose(&mut sampler.rng).expect("checked"),
             client_timeout_ms: config.client_timeouts_ms.choose(&mut sampler.rng).copied().unwrap_or(3_000),
             system_call_failures: [0; SYSTEM_CALLS.len()],
             wall_clock_offset_s: 0,
@@ -370,10 +379,14 @@
             front_end: sampler.rng.random_range(0..front_ends),
             seconds: config.wall_clock_offsets_s.choose(&mut sampler.rng).copied().unwrap_or(0),
         });
-        add(self, max.floods, &mut |sampler| Fault::Flood {
-            front_end: sampler.rng.random_range(0..front_ends),
-            clients: sampler.rng.random_range(1..=4),
-            span: sampler.duration(FLOOD_TIME_S),
+        add(self, max.floods, &mut |sampler| {
+            let kind = FloodKind::ALL[sampler.rng.random_range(0..FloodKind::ALL.len())];
+            Fault::Flood {
+                front_end: sampler.rng.random_range(0..front_ends),
+                kind,
+                clients: sampler.rng.random_range(kind.clients()),
+                span: sampler.duration(FLOOD_TIME_S),
+            }
         });
         faults.sort_by_key(|(at, _)| *at);
         faults
