--- a/scale/src/soak/flood.rs
+++ b/scale/src/soak/flood.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::LazyLock;
 use std::time::{Duration, Instant};
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -68,8 +69,8 @@
                     send_blocks(address, rng.random_range(ANSWERED_BLOCKS), unservable).await
                 }
                 FloodKind::NewFunctions => send_blocks(address, u32::MAX, call_of_new_function).await,
-                FloodKind::Unfinished => send_and_hold(address, &unfinished_requests(), &mut rng).await,
-                FloodKind::ShortFields => send_and_hold(address, &requests_of_short_fields(), &mut rng).await,
+                FloodKind::Unfinished => send_and_hold(address, &UNFINISHED_REQUESTS, &mut rng).await,
+                FloodKind::ShortFields => send_and_hold(address, &REQUESTS_OF_SHORT_FIELDS, &mut rng).await,
             }
         };
         let result = timeout(end.saturating_duration_since(Instant::now()), connection).await;
@@ -96,14 +97,15 @@
     encode_request(id, &parameters, &[])
 }
 
-fn unfinished_requests() -> Vec<u8> {
+// Encoded once: this process also runs the workers, whose times are checked.
+static UNFINISHED_REQUESTS: LazyLock<Vec<u8>> = LazyLock::new(|| {
     (1..=BLOCK).flat_map(|id| encode_unfinished_request(id, &[1; LARGE_PARAMS], &[2; LARGE_BODY])).collect()
-}
+});
 
-fn requests_of_short_fields() -> Vec<u8> {
+static REQUESTS_OF_SHORT_FIELDS: LazyLock<Vec<u8>> = LazyLock::new(|| {
     let fields = vec![("a", String::new()); LARGE_PARAMS / 3];
     (1..=BLOCK).flat_map(|id| encode_request(id, &fields, &[2; LARGE_BODY])).collect()
-}
+});
 
 /// Sends blocks of requests, and another one after the last whose answers are read.
 async fn send_blocks(address: SocketAddr, answered: u32, request: fn(u16) -> Vec<u8>) -> io::Result<()> {
