Admit a new client while those that make way for it close

Callers on new connections got no answer, or a late one, beside hundreds of clients that connect again as soon as they are turned away.

Cause: at the limit on connections the accept loop waits up to 20 ms for each new connection until one that was told to close has done so, and its reader waits for its turn behind the other busy ones. All connections behind it wait as long; what fails is closed.

Change: connections that were told to close make way at once, up to a 32nd of the limit and one more.

No test of its own: it shows under load alone.

--- a/heronslip/src/connection_limiter.rs
+++ b/heronslip/src/connection_limiter.rs
@@ -12,10 +12,16 @@
 /// When the limit on client connections is reached, this fraction (1/16) of the limit is closed at a time.
 const IDLE_CLOSE_DIVISOR: usize = 16;
 
+/// Beyond the limit this fraction (1/32) of it, and one more, may be connections that have been told to close but
+/// have not yet.
+const CLOSING_DIVISOR: usize = 32;
+
 /// Limits the client connections of all listeners together.
 #[derive(Clone)]
 pub struct ConnectionLimiter {
     connections: Arc<Mutex<BTreeMap<u64, Arc<ClientActivity>>>>,
+    /// Connections that the limiter has told to close.
+    closing: Arc<AtomicUsize>,
     limit: usize,
     memory_budget: MemoryBudget,
     guaranteed_memory: usize,
@@ -50,6 +56,8 @@
     pub queued_requests: Arc<AtomicUsize>,
     /// Memory of requests that have been read in part, in bytes.
     incomplete_bytes: AtomicUsize,
+    /// Whether the limiter has told the connection to close.
+    is_closing: AtomicBool,
     /// Whether the client has closed the connection.
     hung_up: AtomicBool,
     state: Mutex<(Activity, Option<ServerSide>)>,
@@ -146,6 +154,7 @@
     pub fn new(limits: &Limits, memory_budget: &MemoryBudget) -> Self {
         ConnectionLimiter {
             connections: Arc::default(),
+            closing: Arc::default(),
             limit: limits.client_connections,
             memory_budget: memory_budget.clone(),
             guaranteed_memory: limits.guaranteed_per_connection,
@@ -155,7 +164,10 @@
     /// A permit for a new connection; `None` at the limit.
     pub fn acquire(&self) -> Option<ConnectionPermit> {
         let mut connections = self.connections.lock().ok()?;
-        if connections.len() >= self.limit {
+        // Those that close make way at once. Otherwise a new connection would wait for the readers of others,
+        // and those behind it for the new one.
+        let closing = self.closing.load(Ordering::Acquire).min(self.limit / CLOSING_DIVISOR + 1);
+        if connections.len() >= self.limit + closing {
             return None;
         }
         let activity = Activity {
@@ -170,6 +182,7 @@
             account: self.memory_budget.open_account(self.guaranteed_memory),
             queued_requests: Arc::default(),
             incomplete_bytes: AtomicUsize::new(0),
+            is_closing: AtomicBool::new(false),
             hung_up: AtomicBool::new(false),
             state,
         });
@@ -188,16 +201,24 @@
         let idle = |a: &Arc<ClientActivity>| {
             let state = a.state.lock().ok()?;
             let activity = state.0;
+            if a.is_closing.load(Ordering::Acquire) {
+                return None;
+            }
             // A partly read request counts as a common client's if the connection had a valid request before.
             let in_use = activity.open_requests > 0 || activity.reading_request && activity.had_valid_request;
             let outbox = state.1.as_ref().filter(|_| !in_use)?.outbox.clone();
-            Some(((activity.had_valid_request, activity.reading_request, activity.idle_since), outbox))
+            let order = (activity.had_valid_request, activity.reading_request, activity.idle_since);
+            Some((order, outbox, a.clone()))
         };
         let mut idle: Vec<_> = connections.values().filter_map(idle).collect();
         drop(connections);
         idle.sort_by_key(|i| i.0);
         idle.truncate(self.limit.div_ceil(IDLE_CLOSE_DIVISOR));
-        idle.iter().for_each(|(_, outbox)| outbox.close());
+        for (_, outbox, activity) in &idle {
+            activity.is_closing.store(true, Ordering::Release);
+            self.closing.fetch_add(1, Ordering::AcqRel);
+            outbox.close();
+        }
         any_new || !idle.is_empty()
     }
 
@@ -258,5 +279,8 @@
         if let Ok(mut connections) = self.limiter.connections.lock() {
             connections.remove(&self.activity.connection_id);
         }
+        if self.activity.is_closing.load(Ordering::Acquire) {
+            self.limiter.closing.fetch_sub(1, Ordering::AcqRel);
+        }
     }
 }
