Count a request, and a worker connection, with the memory that they were measured to take

A connection's guaranteed part is 8 KB, so that two such requests fit with their responses; at 32 MB that makes 390 client connections of the 409 that 1,024 descriptors allow, and 240 to workers. A test holds the sum of the shares.

--- a/heronslip/src/memory_shares.rs
+++ b/heronslip/src/memory_shares.rs
@@ -6,12 +6,12 @@
 /// and table entries, and [`UNRESERVED_RESPONSES`].
 const CLIENT_CONNECTION_BYTES: usize = 20 * 1024;
 /// Memory in bytes that the requests and unsent responses of each client connection can always take.
-pub const GUARANTEED_BYTES: usize = 6 * 1024;
+pub const GUARANTEED_BYTES: usize = 8 * 1024;
 /// Memory in bytes that responses on a connection may take although none is reserved for them.
 pub const UNRESERVED_RESPONSES: usize = 1024;
 /// Memory of a worker connection without exchanges, in bytes: the used parts of its two stacks, and its
 /// buffers.
-const WORKER_CONNECTION_BYTES: usize = 28 * 1024;
+const WORKER_CONNECTION_BYTES: usize = 34 * 1024;
 /// What each part of the process may take. The rest of the memory, more than an eighth, is for the process
 /// itself, the worker list, and what the allocator cannot reuse.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/heronslip/src/server/mod.rs
+++ b/heronslip/src/server/mod.rs
@@ -34,7 +34,7 @@
 const CORE_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 /// Memory of a request that the core has besides its body and its response, in bytes: its records in the core,
 /// the controller and the transport, its timers and its messages.
-const REQUEST_BYTES: usize = 1_280;
+const REQUEST_BYTES: usize = 2_112;
 /// Maximum length of an idempotency key.
 const MAX_IDEMPOTENCY_KEY: usize = 128;
 
--- a/heronslip/tests/limits.rs
+++ b/heronslip/tests/limits.rs
@@ -1,7 +1,9 @@
 //! Limits and the memory budget.
 use heronslip::limits::Limits;
 use heronslip::memory::MemoryBudget;
+use heronslip::memory_shares::MemoryShares;
 use heronslip_policy::Settings;
+use rstest::rstest;
 use std::time::Duration;
 
 #[test]
@@ -81,3 +83,20 @@
     }
     assert_eq!(limits.response_margin(3_000_000), limits.max_response_margin);
 }
+
+/// Guards against memory over the limit: the parts that the process may take in all.
+#[rstest]
+#[case::least(32, 1024)]
+#[case::few_descriptors(32, 256)]
+#[case::most(192, 1024)]
+fn the_shares_of_memory_fit_into_it(#[case] memory_mb: usize, #[case] sockets: usize) {
+    const CLIENT_CONNECTION: usize = 28 * 1024;
+    const WORKER_CONNECTION: usize = 34 * 1024;
+    let memory = memory_mb << 20;
+    let shares = MemoryShares::new(memory, sockets * 2 / 5);
+    let clients = shares.client_connections * CLIENT_CONNECTION + shares.buffered_bytes;
+    let workers = shares.worker_connections * WORKER_CONNECTION + shares.reply_bytes;
+    let shared_out = clients + workers + shares.function_bytes + shares.wire_id_bytes;
+    assert!(shared_out <= memory - memory / 8, "{shared_out} of {memory}");
+    assert!(shares.client_connections > sockets / 3, "usual clients may hold a third of the descriptors");
+}
