--- a/heronslip/src/core/mod.rs
+++ b/heronslip/src/core/mod.rs
@@ -2,8 +2,11 @@
 //!
 //! Client protocol servers, worker transports and discovery reach it only through its queue of [`Message`]s.
 //! It knows requests, attempts, outcomes and workers, but no wire format.
+mod actions;
 mod client_shares;
 mod clock;
+mod inspect;
+mod list_updates;
 mod start_times;
 mod timers;
 mod wire_ids;
@@ -12,34 +15,24 @@
 pub use clock::Clock;
 
 use crate::limits::Limits;
-use crate::messages::{
-    AttemptKey, AttemptReport, Client, ListedWorker, Message, Request, Response, WorkerProtocol,
-};
-use crate::worker::{new_transport, ReportSender};
+use crate::messages::{AttemptKey, AttemptReport, Client, Message, Request, Response};
+use crate::worker::ReportSender;
 use client_shares::ClientShares;
 use heronslip_policy::{
-    Action, Controller, DiscoveryState, Event, FunctionId, Micros, Outcome, RetrySafety, Settings,
-    WorkerEntry, WorkerState,
+    Controller, DiscoveryState, Event, FunctionId, Micros, Outcome, RetrySafety, Settings,
 };
-use miniserde::json::{self, Number, Object, Value};
-use start_times::StartTimes;
-use std::collections::{BTreeMap, BTreeSet, HashMap, VecDeque};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
 use std::sync::Arc;
-use std::time::Instant;
 use timers::{Timer, Timers};
 use wire_ids::WireIds;
-use worker_pool::{keep_one_per_address, Worker, WorkerPool};
+use worker_pool::WorkerPool;
 
 /// How often idle worker connections and removed workers are cleaned up.
 const SWEEP_INTERVAL: Micros = 1_000_000;
 /// Maximum number of queued messages that are handled after the first before due timers get their turn.
 const MAX_MESSAGES_BEFORE_TIMERS: usize = 256;
-/// When the limit on worker connections is reached, this fraction (1/32) of the limit is closed at a time.
-const IDLE_EVICTION_DIVISOR: usize = 32;
-/// Changed workers that are logged one by one for each list update; only the number of the others is logged.
-const MAX_LOGGED_WORKERS: usize = 16;
 /// Shortest time for which the id of a request that may have run is remembered after its end.
 const MIN_ID_LIFETIME: Micros = 1_000_000;
 /// Timers that fire later than this are logged: such a delay can exceed the time reserved for sending a
@@ -506,258 +499,4 @@
             }
         }
     }
-
-    fn perform(&mut self, action: Action) {
-        let now = self.clock.now();
-        match action {
-            Action::Send { id, worker, timeout } => self.send_attempt(now, id, worker, timeout),
-            Action::Cancel { id, attempt } => {
-                let key = AttemptKey { request: id, attempt };
-                let attempt = self.requests.get(&id).and_then(|o| o.attempts.get(attempt)).filter(|a| a.open);
-                if let Some(worker) = attempt.and_then(|a| self.workers.get_mut(&a.worker)) {
-                    worker.cancel(key);
-                    self.record_attempt_end(key, AttemptReport::without_reply(Outcome::Cancelled));
-                    self.remove_if_finished(id);
-                }
-            }
-            Action::Refuse { id, retry_after } => {
-                self.log_rejection(id, "refused");
-                self.respond(id, Response::Refused { retry_after });
-                self.remove_if_finished(id);
-            }
-            Action::Fail { id } => {
-                self.log_rejection(id, "failed");
-                self.respond(id, Response::Failed);
-                self.remove_if_finished(id);
-            }
-            Action::Timer { delay, token } => {
-                self.timers.schedule(now.saturating_add(delay), Timer::Controller(token));
-            }
-            Action::Load { worker, function, count } => {
-                self.last_id += 1;
-                let command = self.last_id;
-                let sent = LoadCommand { worker: worker.clone(), function, sent_at: now };
-                self.load_commands.insert(command, sent);
-                // A draining worker must not get a load command, whatever the controller assumes.
-                let may_send = |w: &&mut Worker| w.listing.state == WorkerState::Ready || count == 0;
-                let has_connection = self.reserve_connection(&worker, true);
-                let until = self.lease_end(&worker);
-                match self.workers.get_for_send(&worker).filter(may_send) {
-                    Some(worker) if has_connection => {
-                        worker.transport.send_load(command, function, count, until)
-                    }
-                    Some(_) => self.reports.load_ended(command, Outcome::NotSent, 0),
-                    None => self.reports.load_ended(command, Outcome::ConnectFailed, 0),
-                }
-                self.timers.schedule(now + self.limits.command_timeout, Timer::LoadTimeout(command));
-            }
-            Action::Probe { worker } => {
-                log_limited!("worker {worker}: sending a probe, as it is no longer known to be ready");
-                self.last_id += 1;
-                let probe = self.last_id;
-                let has_connection = self.reserve_connection(&worker, true);
-                match self.workers.get_for_send(&worker) {
-                    Some(worker) if has_connection => worker.transport.send_probe(probe),
-                    Some(_) => self.reports.probe_ended(probe, Outcome::NotSent, None),
-                    None => self.reports.probe_ended(probe, Outcome::ConnectFailed, None),
-                }
-                self.probes.insert(probe, worker);
-                self.timers.schedule(now + self.limits.probe_timeout, Timer::ProbeTimeout(probe));
-            }
-            Action::Unload { worker, function } => {
-                let has_connection = self.reserve_connection(&worker, true);
-                if let Some(worker) = self.workers.get_for_send(&worker).filter(|_| has_connection) {
-                    worker.transport.unload(function);
-                }
-            }
-            Action::Log { text } => log_limited!("controller: {text}"),
-            Action::Subscribe => {} // discovery pushes updates without a subscription
-        }
-    }
-
-    /// Logs a response that the controller decided on.
-    fn log_rejection(&self, id: u64, response: &str) {
-        let Some(open) = self.requests.get(&id).filter(|open| !open.answered) else { return };
-        let elapsed = self.clock.now().saturating_sub(self.clock.at(open.request.received_at));
-        let (wire_id, attempts) = (open.request.wire_id, open.attempts.len());
-        log_limited!(
-            "request {wire_id:016x}: {response} after {} ms and {attempts} attempts",
-            elapsed / 1_000
-        );
-    }
-
-    /// The end of a worker's lease, after which no first byte of a new exchange may be sent to it. The
-    /// controller's decision may wait for a connection or a full socket, and the lease it rests on may expire
-    /// meanwhile.
-    fn lease_end(&self, worker: &str) -> Option<Instant> {
-        self.controller.worker_lease_end(worker).map(|end| self.clock.instant(end))
-    }
-
-    /// When the first byte of an attempt may no longer be sent: its worker's lease ends, or workers forget the
-    /// idempotency key of the attempt that it repeats.
-    fn start_deadline(&self, key: AttemptKey, worker: &str) -> Option<Instant> {
-        let window_end = self.controller.attempt_start_deadline(key.request, key.attempt);
-        let window_end = window_end.map(|end| self.clock.instant(end));
-        [self.lease_end(worker), window_end].into_iter().flatten().min()
-    }
-
-    /// Whether an exchange with a worker can use an open connection or open a new one. At the limit on worker
-    /// connections, which bounds the descriptors, some of the idle connections are closed, least recently
-    /// used first. Commands and probes may use three quarters of the limit and leave the rest to calls: a new
-    /// function may be queried at all workers at once.
-    fn reserve_connection(&mut self, worker: &str, is_command: bool) -> bool {
-        if !self.workers.get(worker).is_some_and(|w| w.transport.connections().needs_new) {
-            return true;
-        }
-        let limit = self.limits.worker_connections;
-        let max_connections = if is_command { limit - limit / 4 } else { limit };
-        // Several at a time: finding the longest idle connections is too costly for each exchange.
-        let has_room = self.workers.connections() < max_connections
-            || self.workers.close_idle(limit / IDLE_EVICTION_DIVISOR + 1) > 0
-            || self.workers.recount_connections() < max_connections;
-        if has_room {
-            self.workers.reserve_connection();
-        } else {
-            log_limited!(
-                "worker {worker}: nothing sent: {} worker connections are in use",
-                self.workers.connections()
-            );
-        }
-        has_room
-    }
-
-    fn send_attempt(&mut self, now: Micros, id: u64, worker: String, timeout: Micros) {
-        let Some(open) = self.requests.get_mut(&id) else { return };
-        let key = AttemptKey { request: id, attempt: open.attempts.len() };
-        let request = open.request.clone();
-        let left = self.remaining_wait(now, &request);
-        let budget = if timeout == 0 { left } else { timeout.min(left) };
-        let Some(open) = self.requests.get_mut(&id) else { return };
-        open.attempts.push(Attempt { worker: worker.clone(), sent_at: now, open: true, may_have_run: true });
-        let still_needed = !open.answered && !open.client.has_left() && budget > 0;
-        let has_connection = still_needed && self.reserve_connection(&worker, false);
-        let is_ready = |w: &&mut Worker| w.listing.state == WorkerState::Ready;
-        let start_deadline = self.start_deadline(key, &worker);
-        match self.workers.get_for_send(&worker).filter(is_ready) {
-            Some(worker) if has_connection => {
-                worker.transport.send_attempt(key, &request, budget, start_deadline);
-                self.timers.schedule(now.saturating_add(budget), Timer::AttemptTimeout(key));
-            }
-            _ => {
-                self.record_attempt_end(key, AttemptReport::without_reply(Outcome::NotSent));
-                self.remove_if_finished(id);
-            }
-        }
-    }
-
-    fn update_worker_list(&mut self, source: WorkerProtocol, full: bool, mut listed: Vec<ListedWorker>) {
-        keep_one_per_address(&mut listed);
-        if full {
-            let ids: BTreeSet<&str> = listed.iter().map(|l| l.id.as_str()).collect();
-            let left_out = |w: &&Worker| w.listing.protocol == source && !ids.contains(w.listing.id.as_str());
-            let gone: Vec<ListedWorker> =
-                self.workers.values().filter(left_out).map(Worker::listing_as_gone).collect();
-            listed.extend(gone);
-        }
-        listed.splice(0..0, self.workers.displaced_by(source, &listed));
-        let known = self.workers.values().map(|worker| &worker.listing);
-        let start_times = StartTimes::new(self.clock.now(), self.list_current_at, &listed, known);
-        let not_logged = listed.len().saturating_sub(MAX_LOGGED_WORKERS);
-        let mut entries = Vec::with_capacity(listed.len());
-        for (index, listing) in listed.into_iter().enumerate() {
-            if index < MAX_LOGGED_WORKERS {
-                // heronslip-scale reads this line.
-                log!("member {}: {:?} at {}", listing.id, listing.state, listing.address);
-            }
-            entries.push(self.update_worker(listing, &start_times));
-        }
-        if not_logged > 0 {
-            log!("worker list: {not_logged} more workers changed, {} are known", self.workers.len());
-        }
-        if !entries.is_empty() {
-            self.events.push_back(Event::WorkerList { full: false, entries });
-        }
-        self.shared.ready.store(true, Ordering::Release);
-    }
-
-    /// Updates one worker from the list, and returns its entry for the controller.
-    fn update_worker(&mut self, mut listing: ListedWorker, start_times: &StartTimes) -> WorkerEntry {
-        let known = self.workers.get_mut(&listing.id);
-        if let Some(worker) = known.as_ref().filter(|_| listing.state == WorkerState::Gone) {
-            // A worker left out of a full list comes without its other fields.
-            listing = worker.listing_as_gone();
-        }
-        let position = |names: &[String], name: &str| heronslip_policy::json::index_of(names, Some(name));
-        let same_process = known.as_ref().filter(|worker| worker.listing.started_at == listing.started_at);
-        let started_at =
-            same_process.map_or_else(|| start_times.of_new_process(&listing), |worker| worker.started_at);
-        let entry = WorkerEntry {
-            worker: listing.id.clone(),
-            state: listing.state,
-            started_at,
-            zone: position(&self.settings.zones, &listing.zone),
-            machine_type: position(&self.settings.machine_types, &listing.machine_type),
-            cell: listing.cell,
-        };
-        // A worker that moves gets a new transport, as a new worker may take over its former address.
-        // Exchanges that are open at the former address end there.
-        let is_same_endpoint =
-            |w: &&mut Worker| w.listing.address == listing.address && w.listing.protocol == listing.protocol;
-        match known.filter(is_same_endpoint) {
-            Some(worker) => {
-                if listing.state != WorkerState::Ready || worker.listing.started_at != listing.started_at {
-                    worker.transport.retire();
-                }
-                (worker.listing, worker.started_at) = (listing, started_at);
-            }
-            None => {
-                let transport = new_transport(listing.protocol, listing.address, &self.limits, &self.reports);
-                let id = listing.id.clone();
-                let new = Worker { listing, started_at, transport, former_transports: Vec::new() };
-                let old = self.workers.insert(new);
-                if let (Some(mut old), Some(worker)) = (old, self.workers.get_mut(&id)) {
-                    old.transport.retire();
-                    worker.former_transports = old.former_transports;
-                    worker.former_transports.push(old.transport);
-                }
-            }
-        }
-        entry
-    }
-
-    /// Tenants with their quotas and counters, workers, and the number of open requests, as JSON.
-    fn state_json(&self) -> String {
-        let object = |fields: Vec<(&str, Value)>| {
-            Value::Object(fields.into_iter().map(|(k, v)| (k.to_owned(), v)).collect::<Object>())
-        };
-        let count = |n: u64| Value::Number(Number::U64(n));
-        let tenants = self.tenant_counters.iter().enumerate().map(|(index, counters)| {
-            let tenant = self.settings.tenants.get(index);
-            object(vec![
-                ("name", Value::String(tenant.map_or("(unknown)", |t| &t.name).to_owned())),
-                ("quota_per_s", Value::Number(Number::F64(tenant.map_or(0.0, |t| t.quota_per_s)))),
-                ("asked", count(counters.received)),
-                ("served", count(counters.served)),
-                ("refused", count(counters.refused)),
-                ("failed", count(counters.failed)),
-                ("withdrawn", count(counters.cancelled)),
-            ])
-        });
-        let endpoints = self.workers.values().map(|worker| {
-            let listing = &worker.listing;
-            object(vec![
-                ("name", Value::String(listing.id.clone())),
-                ("address", Value::String(listing.address.to_string())),
-                ("state", Value::String(format!("{:?}", listing.state).to_lowercase())),
-                ("zone", Value::String(listing.zone.clone())),
-                ("speech", Value::String(format!("{:?}", listing.protocol).to_lowercase())),
-            ])
-        });
-        let fields = vec![
-            ("tenants", Value::Array(tenants.collect())),
-            ("endpoints", Value::Array(endpoints.collect())),
-            ("open_requests", count(self.requests.len() as u64)),
-        ];
-        json::to_string(&object(fields))
-    }
 }
