Review: a call that must not be repeated runs twice after a second answer

Cause: only ids of calls that were served or cancelled are remembered as ended, so a second copy of the answer 202 is taken for the answer to the next attempt. Change: case 7 of the review; nothing is fixed.

--- a/review/stand_ins_2.rs
+++ b/review/stand_ins_2.rs
@@ -17,6 +17,8 @@
 
 #[path = "6/scenario.rs"]
 mod case_6;
+#[path = "7/scenario.rs"]
+mod case_7;
 
 pub fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -1139,6 +1141,7 @@
     let record = Arc::new(Record { start: Instant::now(), lines: Mutex::default() });
     let play: fn(&Arc<Record>, bool) -> Verdict = match scenario.as_str() {
         "6" => case_6::play,
+        "7" => case_7::play,
         _ => cannot_run("no such scenario"),
     };
     let verdict = play(&record, trouble);
