Review: requests of usual clients are lost beside hundreds of others

Cause: at the limit on client connections an accepted connection is closed unread, and connections with an open request are never given up. Change: case 8 of the review; nothing is fixed.

--- a/review/stand_ins_2.rs
+++ b/review/stand_ins_2.rs
@@ -19,6 +19,8 @@
 mod case_6;
 #[path = "7/scenario.rs"]
 mod case_7;
+#[path = "8/scenario.rs"]
+mod case_8;
 
 pub fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -1142,6 +1144,7 @@
     let play: fn(&Arc<Record>, bool) -> Verdict = match scenario.as_str() {
         "6" => case_6::play,
         "7" => case_7::play,
+        "8" => case_8::play,
         _ => cannot_run("no such scenario"),
     };
     let verdict = play(&record, trouble);
