Review: new work reaches a draining worker after an outage of discovery

Cause: a pause of 50 ms after any event is taken as proof that the worker list is current. Change: case 9 of the review; nothing is fixed.

--- a/review/stand_ins_2.rs
+++ b/review/stand_ins_2.rs
@@ -21,6 +21,8 @@
 mod case_7;
 #[path = "8/scenario.rs"]
 mod case_8;
+#[path = "9/scenario.rs"]
+mod case_9;
 
 pub fn ms(n: u64) -> Duration {
     Duration::from_millis(n)
@@ -1145,6 +1147,7 @@
         "6" => case_6::play,
         "7" => case_7::play,
         "8" => case_8::play,
+        "9" => case_9::play,
         _ => cannot_run("no such scenario"),
     };
     let verdict = play(&record, trouble);
