Review: requests with figures that cannot be read are served

Cause: parts of X-More without a colon are passed over, and 0 and fractions pass as figures. Change: case 10 of the review; nothing is fixed.

--- a/review/stand_ins_2.rs
+++ b/review/stand_ins_2.rs
@@ -15,6 +15,8 @@
 use std::thread::{sleep, spawn};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+#[path = "10/scenario.rs"]
+mod case_10;
 #[path = "6/scenario.rs"]
 mod case_6;
 #[path = "7/scenario.rs"]
@@ -1148,6 +1150,7 @@
         "7" => case_7::play,
         "8" => case_8::play,
         "9" => case_9::play,
+        "10" => case_10::play,
         _ => cannot_run("no such scenario"),
     };
     spawn(|| {
