Review: end a front end by the shell's kill where a case cannot run

Cause: a machine may have no kill program besides that of the shell. Change: the stand-ins end their processes with /bin/sh.

--- a/review/stand_ins_2.rs
+++ b/review/stand_ins_2.rs
@@ -504,7 +504,8 @@
 /// Ends the case as one that could not run, and all processes that it started.
 pub fn cannot_run(why: &str) -> ! {
     for pid in lock(&CHILDREN).iter() {
-        let _ = Command::new("kill").args(["-KILL", &pid.to_string()]).status();
+        let kill = format!("kill -KILL {pid} 2>/dev/null");
+        let _ = Command::new("/bin/sh").args(["-c", &kill]).status();
     }
     eprintln!("the case could not run: {why}");
     std::process::exit(2)
