Refuse requests with fields that cannot be decoded or are out of range

Cause: the decoders took what they could read and passed over the rest, and in what they handed on "not stated" was 0, so that the check of ranges had to let 0 pass. The same held for the wait, the retry mark, CONTENT_LENGTH, repeated parameters, text that is not UTF-8, and KServe v2 members of another type.

Change: a decoder makes a StatedRequest, or fails with a typed error; RequestRules::validate checks every field of it and is the only way to a Request. Class, tenant and the need of a key are checked there too, no longer in the core, with the statuses they had. The largest copy follows from the machines in the settings.

graceful_shutdown.rs named a class that its settings do not have; it now names one that they have, as such a request no longer reaches the core.

--- a/heronslip/src/core/mod.rs
+++ b/heronslip/src/core/mod.rs
@@ -18,9 +18,7 @@
 use crate::messages::{AttemptKey, AttemptReport, Client, Message, Request, Response};
 use crate::worker::ReportSender;
 use client_shares::ClientShares;
-use heronslip_policy::{
-    Controller, DiscoveryState, Event, FunctionId, Micros, Outcome, RetrySafety, Settings,
-};
+use heronslip_policy::{Controller, DiscoveryState, Event, FunctionId, Micros, Outcome, Settings};
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::{Receiver, RecvTimeoutError};
@@ -259,30 +257,18 @@
         if self.shared.refuses_requests.load(Ordering::Acquire) {
             return client.respond(tag, Response::Refused { retry_after: self.settings.max_retry_after / 2 });
         }
-        let class = self.settings.class_index(&request.class);
-        let tenant = self.settings.tenant_index(&request.tenant);
-        let class_settings = self.settings.classes.get(class);
-        // Workers recognize duplicates by the idempotency key.
-        let is_deduplicated = class_settings.is_some_and(|c| c.retry_safety == RetrySafety::Deduplicated);
-        let error = match () {
-            () if class_settings.is_none() => Some("unknown class"),
-            () if tenant.is_none() && !self.settings.tenants.is_empty() => Some("unknown tenant"),
-            () if is_deduplicated && request.idempotency_key.is_none() => {
-                Some("its class requires an idempotency key, and it has none")
-            }
-            // A worker could not tell apart two open requests with the same id, and one that has been sent
-            // may run on after its client has left.
-            () if !self.wire_ids.open(request.wire_id, self.clock.now()) => {
-                Some("another request with this id is open or has been sent to a worker")
-            }
-            () => None,
-        };
-        if let Some(error) = error {
-            log_limited!("request {:016x}: failed: {error}", request.wire_id);
+        // A worker could not tell apart two open requests with the same id, and one that has been sent may run
+        // on after its client has left.
+        if !self.wire_ids.open(request.wire_id, self.clock.now()) {
+            log_limited!(
+                "request {:016x}: failed: another request with this id is open or has been sent to a worker",
+                request.wire_id
+            );
             return client.respond(tag, Response::Failed);
         }
+        let (class, tenant) = (request.class_index, request.tenant_index);
         // A request's timers stay for its whole wait. This bounds their memory and the time of a shutdown.
-        let max_wait = class_settings.map(|c| c.client_timeout).filter(|&span| span > 0);
+        let max_wait = self.settings.classes.get(class).map(|c| c.client_timeout).filter(|&span| span > 0);
         request.wait = request.wait.min(max_wait.unwrap_or(request.wait));
         self.last_id += 1;
         let id = self.last_id;
--- a/heronslip/src/lib.rs
+++ b/heronslip/src/lib.rs
@@ -40,6 +40,7 @@
 use may::net::TcpListener;
 use memory::MemoryBudget;
 use nix::errno::Errno;
+use server::validation::RequestRules;
 use server::{Acceptor, ServerContext};
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
@@ -60,6 +61,7 @@
     let context = ServerContext {
         core: queue.clone(),
         limits: limits.clone(),
+        rules: Arc::new(RequestRules::new(&config.settings, &limits)),
         connection_limiter: ConnectionLimiter::new(&limits, &memory_budget),
         memory_budget,
         hang_ups: HangUpWatcher::default(),
--- a/heronslip/src/messages.rs
+++ b/heronslip/src/messages.rs
@@ -66,8 +66,12 @@
     pub wire_id: u64,
     /// Name of its class.
     pub class: String,
+    /// Index of its class in the settings.
+    pub class_index: usize,
     /// Name of its tenant.
     pub tenant: String,
+    /// Index of its tenant in the settings, if they have tenants.
+    pub tenant_index: Option<usize>,
     /// The function it calls.
     pub function: FunctionId,
     /// How long the client waits for the response, counted from `received_at`.
--- a/heronslip/src/server/fastcgi/mod.rs
+++ b/heronslip/src/server/fastcgi/mod.rs
@@ -1,9 +1,11 @@
 //! The server for the platform's clients: FastCGI 1.0, Responder role, with multiplexed requests.
+mod figures;
 mod parameters;
 mod reader;
 mod records;
 mod requests;
 
+pub use figures::parse_figures;
 pub use records::{decode_pairs, encode_record, encode_response, Pair, TruncatedPair};
 
 use super::ServerContext;
@@ -89,10 +91,8 @@
             Rejection::OutOfMemory => {
                 self.end_request(id, status::OVERLOADED, "the memory budget for requests is exhausted");
             }
-            Rejection::Invalid(reason) => {
-                log_limited!("fastcgi: request with FastCGI id {id} failed: {reason}");
-                self.outbox.send(encode_response(id, "Status: 400 Bad Request\r\n", &[]));
-            }
+            Rejection::InvalidStream(reason) => self.fail_request(id, "400 Bad Request", &reason),
+            Rejection::InvalidRequest(reason) => self.fail_request(id, reason.status(), &reason),
         }
         self.activity.answered_directly();
         if !keep_connection {
@@ -100,6 +100,12 @@
         }
     }
 
+    /// Answers a request with a CGI status and no body.
+    fn fail_request(&self, id: u16, status: &str, reason: &dyn std::error::Error) {
+        log_limited!("fastcgi: request with FastCGI id {id} failed: {reason}");
+        self.outbox.send(encode_response(id, &format!("Status: {status}\r\n"), &[]));
+    }
+
     /// Ends a request with a protocol status and no response.
     fn end_request(&self, id: u16, status: u8, reason: &str) {
         log_limited!("fastcgi: request with FastCGI id {id} rejected: {reason}");
--- a/heronslip/src/server/fastcgi/reader.rs
+++ b/heronslip/src/server/fastcgi/reader.rs
@@ -2,9 +2,9 @@
 use super::parameters::Parameters;
 use super::records::{
     decode_pairs, encode_record, encode_response, kind, status, RecordPart, RecordReader, TruncatedPair,
-    KEEP_CONN, RESPONDER, TRUNCATED_PAIR,
+    KEEP_CONN, RESPONDER,
 };
-use super::requests::{OpenRequest, PartialRequest, Rejection, Stream, PARTIAL_REQUEST_BYTES};
+use super::requests::{InvalidStream, OpenRequest, PartialRequest, Rejection, Stream, PARTIAL_REQUEST_BYTES};
 use super::{request_tag, Connection};
 use crate::limits::Limits;
 use crate::messages::{IncomingGuard, Message, Request};
@@ -97,7 +97,7 @@
             return Err("timed out reading a request".to_owned());
         }
         for (id, _) in ids.into_iter().zip(rejected).filter(|(_, rejected)| !rejected) {
-            self.connection.reject_partial(id, Rejection::Invalid("timed out reading it"));
+            self.connection.reject_partial(id, InvalidStream::Timeout.into());
         }
         Ok(())
     }
@@ -256,9 +256,12 @@
     fn complete_request(&mut self, id: u16, partial: PartialRequest) -> Result<(), String> {
         let received_at = Instant::now();
         let PartialRequest { params, body, keep_connection, reservation, mut incoming, .. } = partial;
-        let Ok(parameters) = Parameters::decode(&params) else {
-            self.connection.reject(id, Rejection::Invalid(TRUNCATED_PAIR), keep_connection);
-            return Ok(());
+        let parameters = match Parameters::decode(&params) {
+            Ok(parameters) => parameters,
+            Err(rejection) => {
+                self.connection.reject(id, rejection, keep_connection);
+                return Ok(());
+            }
         };
         drop(params);
         if parameters.path() == "/healthz" {
@@ -266,10 +269,10 @@
             return Ok(());
         }
         let body_memory = body.capacity();
-        let request = match parameters.into_request(body, &self.context.limits) {
+        let request = match parameters.into_request(body, &self.context.rules) {
             Ok(request) => request,
             Err(reason) => {
-                self.connection.reject(id, Rejection::Invalid(reason), keep_connection);
+                self.connection.reject(id, reason.into(), keep_connection);
                 return Ok(());
             }
         };
--- a/heronslip/src/server/fastcgi/records.rs
+++ b/heronslip/src/server/fastcgi/records.rs
@@ -211,12 +211,9 @@
     }
 }
 
-/// The reason of [`TruncatedPair`].
-pub(super) const TRUNCATED_PAIR: &str = "the parameters end within a name-value pair";
-
 /// The bytes of a parameter stream end within a name-value pair.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
-#[error("{TRUNCATED_PAIR}")]
+#[error("the stream ends within a name-value pair")]
 pub struct TruncatedPair;
 
 /// A name and its value.
--- a/heronslip/src/server/fastcgi/requests.rs
+++ b/heronslip/src/server/fastcgi/requests.rs
@@ -3,6 +3,7 @@
 use crate::limits::Limits;
 use crate::memory::Reservation;
 use crate::messages::IncomingGuard;
+use crate::server::validation::InvalidRequest;
 use std::collections::HashMap;
 use std::time::Instant;
 
@@ -61,12 +62,32 @@
     Body,
 }
 
+/// Why the streams of a request cannot be read.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub(super) enum InvalidStream {
+    #[error("the parameters end within a name-value pair")]
+    TruncatedPair,
+    #[error("a parameter has no name")]
+    UnnamedParameter,
+    #[error("the parameters are too long")]
+    ParametersTooLong,
+    #[error("the body is too long")]
+    BodyTooLong,
+    #[error("timed out reading it")]
+    Timeout,
+}
+
 /// Why a request is rejected.
-#[derive(Clone, Copy)]
+#[derive(Clone, Copy, Debug, thiserror::Error)]
 pub(super) enum Rejection {
-    /// The request is invalid.
-    Invalid(&'static str),
+    /// Its streams cannot be read.
+    #[error(transparent)]
+    InvalidStream(#[from] InvalidStream),
+    /// One of its fields cannot be used.
+    #[error(transparent)]
+    InvalidRequest(#[from] InvalidRequest),
     /// The memory budget of all requests is exhausted.
+    #[error("the memory budget for requests is exhausted")]
     OutOfMemory,
 }
 
@@ -102,12 +123,12 @@
         &mut self, stream: Stream, part: &RecordPart<'_>, limits: &Limits,
     ) -> Result<(), Rejection> {
         let (bytes, max, too_long) = match stream {
-            Stream::Params => (&mut self.params, limits.max_head, "the parameters are too long"),
-            Stream::Body => (&mut self.body, limits.max_body, "the body is too long"),
+            Stream::Params => (&mut self.params, limits.max_head, InvalidStream::ParametersTooLong),
+            Stream::Body => (&mut self.body, limits.max_body, InvalidStream::BodyTooLong),
         };
         let needed = bytes.len() + part.content.len();
         if needed + part.missing > max {
-            return Err(Rejection::Invalid(too_long));
+            return Err(too_long.into());
         }
         if needed > bytes.capacity() {
             let capacity = needed.max(2 * bytes.capacity()).min(max);
--- a/heronslip/src/server/kserve.rs
+++ b/heronslip/src/server/kserve.rs
@@ -1,9 +1,11 @@
 //! The KServe v2 server: the Open Inference Protocol over HTTP/1.1 REST. Its requests go to the same core as
 //! those of FastCGI clients. The read-only administration API uses the same HTTP code.
-use super::{is_valid_idempotency_key, parse_id, RequestParameters, ServerContext};
+mod body;
+
+use super::validation::{parse_id, InvalidRequest};
+use super::ServerContext;
 use crate::connection_limiter::{ClientActivity, ConnectionLimiter, ConnectionPermit, RejectIncomplete};
 use crate::http::{response, Head};
-use crate::limits::Limits;
 use crate::memory::Reservation;
 use crate::messages::{Client, IncomingGuard, Message, Payload, Request, Response};
 use crate::net::{is_timeout, Socket};
@@ -11,7 +13,7 @@
 use crate::response_size::ExpectedResponse;
 use crate::ring::RingBuffer;
 use crate::worker::kserve::wrap_response;
-use heronslip_policy::json::{as_object, boolean, number, object, parse, string};
+use heronslip_policy::json::{as_object, parse};
 use may::sync::Mutex;
 use miniserde::json::{self, Object, Value};
 use std::collections::VecDeque;
@@ -417,7 +419,7 @@
             log_limited!("kserve: request refused: the memory budget for requests is exhausted");
             return error_result("503 Service Unavailable", OUT_OF_MEMORY);
         };
-        match parse_request(name, body, &self.context.limits) {
+        match self.read_request(name, body) {
             Ok(request) => {
                 let mut incoming = IncomingGuard::new(&self.context.incoming_requests);
                 incoming.count_as_queued(&activity.queued_requests);
@@ -431,11 +433,16 @@
             }
             Err(reason) => {
                 log_limited!("kserve: request failed: {reason}");
-                error_result("400 Bad Request", reason)
+                error_result(reason.status(), &reason.to_string())
             }
         }
     }
 
+    fn read_request(&self, name: &str, body: Vec<u8>) -> Result<Request, InvalidRequest> {
+        let default_wait_ms = self.context.limits.default_wait as f64 / 1000.0;
+        self.context.rules.validate(body::decode_request(name, body, default_wait_ms)?)
+    }
+
     fn handle_admin(&self, head: &Head) -> HandlerResult {
         let path = head.target.split('?').next().unwrap_or_default();
         match (head.method.as_str(), path) {
@@ -458,48 +465,3 @@
         }
     }
 }
-
-/// The id that workers receive: the client's id if it is 16 hexadecimal digits, otherwise a random number.
-fn wire_id(id: Option<&str>) -> u64 {
-    use std::hash::{BuildHasher, RandomState};
-    id.and_then(parse_id).unwrap_or_else(|| RandomState::new().hash_one(id))
-}
-
-/// Parses the fields of a v2 body. The body itself is passed on unchanged.
-fn parse_request(name: &str, body: Vec<u8>, limits: &Limits) -> Result<Request, &'static str> {
-    let json = std::str::from_utf8(&body).ok().and_then(|t| parse(t).ok());
-    let fields = json.as_ref().and_then(as_object).ok_or("the body is no JSON object")?;
-    let empty = Object::new();
-    let stated = object(fields, "parameters").unwrap_or(&empty);
-    let key = string(stated, "token");
-    if key.is_some_and(|k| !is_valid_idempotency_key(k)) {
-        return Err("the key cannot travel");
-    }
-    let number_or = |name: &str, default: f64| match stated.get(name) {
-        Some(_) => number(stated, name).ok_or("a figure is no number"),
-        None => Ok(default),
-    };
-    let parameters = RequestParameters {
-        wait_ms: number_or("wait_ms", limits.default_wait as f64 / 1000.0)?,
-        memory_mb: number_or("memory_mb", 0.0)?,
-        lanes: number_or("lanes", 0.0)?,
-        load_ms: number_or("load_ms", 0.0)?,
-    };
-    parameters.validate(limits)?;
-    Ok(Request {
-        wire_id: wire_id(string(fields, "id")),
-        class: string(stated, "class").ok_or("no 'class' among the parameters")?.to_owned(),
-        tenant: string(stated, "tenant").unwrap_or_default().to_owned(),
-        function: parse_id(name).ok_or("unknown model")?,
-        wait: (parameters.wait_ms * 1000.0) as u64,
-        received_at: Instant::now(),
-        idempotency_key: key.map(str::to_owned),
-        is_retry: boolean(stated, "retry"),
-        memory_mb: parameters.memory_mb,
-        lanes: parameters.lanes as u32,
-        load_time: (parameters.load_ms * 1000.0) as u64,
-        payload: Payload::Json(body),
-        reservation: None,
-        incoming: None,
-    })
-}
--- a/heronslip/src/server/mod.rs
+++ b/heronslip/src/server/mod.rs
@@ -1,6 +1,7 @@
 //! Servers for the client protocols. Each parses requests, passes them to the core and writes the responses.
 pub mod fastcgi;
 pub mod kserve;
+pub mod validation;
 
 use crate::connection_limiter::{ClientActivity, ConnectionLimiter, ConnectionPermit};
 use crate::coop::{pause, Budget, Group};
@@ -21,6 +22,7 @@
 use std::sync::mpsc::Sender;
 use std::sync::Arc;
 use std::time::Duration;
+use validation::RequestRules;
 
 /// Maximum retries to get a permit for a new connection at the limit on client connections.
 const MAX_PERMIT_RETRIES: usize = 20;
@@ -35,8 +37,6 @@
 /// Memory of a request that the core has besides its body and its response, in bytes: its records in the core,
 /// the controller and the transport, its timers and its messages.
 const REQUEST_BYTES: usize = 2_112;
-/// Maximum length of an idempotency key.
-const MAX_IDEMPOTENCY_KEY: usize = 128;
 
 /// What every server needs.
 #[derive(Clone)]
@@ -45,6 +45,8 @@
     pub core: Sender<Message>,
     /// All limits.
     pub limits: Arc<Limits>,
+    /// What requests must satisfy.
+    pub rules: Arc<RequestRules>,
     /// Memory for the request bodies and unsent responses of all requests.
     pub memory_budget: MemoryBudget,
     /// Limits the client connections of all servers together.
@@ -201,44 +203,3 @@
     }
     permit
 }
-
-/// The numeric parameters of a request as the client stated them; 0 if it did not.
-#[derive(Default)]
-pub struct RequestParameters {
-    /// How long the client waits, in ms.
-    pub wait_ms: f64,
-    /// Memory of a copy, in MB.
-    pub memory_mb: f64,
-    /// Calls that a copy runs at the same time.
-    pub lanes: f64,
-    /// Usual time to load a copy, in ms.
-    pub load_ms: f64,
-}
-
-impl RequestParameters {
-    /// Checks that each value is a number within its range. The clock and the controller rely on it.
-    pub fn validate(&self, limits: &Limits) -> Result<(), &'static str> {
-        let max_wait_ms = limits.max_wait as f64 / 1000.0;
-        let in_range = |value: f64, max: f64| (0.0..=max).contains(&value);
-        if !in_range(self.wait_ms, max_wait_ms) {
-            return Err("the wait is out of range");
-        }
-        let valid =
-            in_range(self.memory_mb, limits.max_copy_memory_mb) && in_range(self.load_ms, max_wait_ms);
-        (valid && in_range(self.lanes, limits.max_copy_lanes)).then_some(()).ok_or("a figure is out of range")
-    }
-}
-
-/// Whether an idempotency key can be sent in all protocols: no separators, no blanks.
-pub fn is_valid_idempotency_key(key: &str) -> bool {
-    !key.is_empty()
-        && key.len() <= MAX_IDEMPOTENCY_KEY
-        && key.bytes().all(|b| b.is_ascii_graphic() && !b",=;\"\\".contains(&b))
-}
-
-/// Parses an id of 16 hexadecimal digits.
-pub fn parse_id(text: &str) -> Option<u64> {
-    (text.len() == 16 && text.bytes().all(|b| b.is_ascii_hexdigit()))
-        .then(|| u64::from_str_radix(text, 16).ok())
-        .flatten()
-}
--- a/heronslip/tests/client_disconnects.rs
+++ b/heronslip/tests/client_disconnects.rs
@@ -42,7 +42,9 @@
     let request = Request {
         wire_id: 9,
         class: "tile-render".to_owned(),
+        class_index: 0,
         tenant: String::new(),
+        tenant_index: None,
         function: 7,
         wait: 60_000_000,
         received_at: Instant::now(),
--- a/heronslip/tests/common/mod.rs
+++ b/heronslip/tests/common/mod.rs
@@ -48,8 +48,10 @@
 use heronslip::memory::MemoryBudget;
 use heronslip::messages::Message;
 use heronslip::net::Socket;
+use heronslip::server::validation::RequestRules;
 use heronslip::server::{accept_connections, Acceptor, ServerContext};
 use heronslip::worker::ReportSender;
+use heronslip_policy::Settings;
 use std::time::{Duration, Instant};
 
 /// The function that all calls name.
@@ -518,7 +520,7 @@
 }
 
 /// Reads an HTTP message: its head and body.
-fn read_http_message(stream: &mut impl Read) -> std::io::Result<(String, Vec<u8>)> {
+pub fn read_http_message(stream: &mut impl Read) -> std::io::Result<(String, Vec<u8>)> {
     let mut head = Vec::new();
     while !head.ends_with(b"\r\n\r\n") {
         head.extend(read_exactly(stream, 1)?);
@@ -770,7 +772,9 @@
 
 /// The context that servers need, and the core's end of the queue.
 pub fn test_context(change: impl FnOnce(&mut Limits)) -> (ServerContext, Receiver<Message>) {
-    let mut limits = Limits::new(192, 256, &heronslip_policy::Settings::default());
+    let json = parse(SETTINGS).expect("JSON");
+    let settings = Settings::from_json(as_object(&json).expect("an object"));
+    let mut limits = Limits::new(192, 256, &Settings::default());
     change(&mut limits);
     heronslip::net::configure_scheduler(&limits);
     let (core, queue) = channel();
@@ -782,6 +786,7 @@
         memory_budget,
         hang_ups: Default::default(),
         expected_response: Arc::default(),
+        rules: Arc::new(RequestRules::new(&settings, &limits)),
         limits,
         unsent_bytes: Arc::default(),
         shared: Arc::default(),
--- a/heronslip/tests/graceful_shutdown.rs
+++ b/heronslip/tests/graceful_shutdown.rs
@@ -68,8 +68,9 @@
     let (context, queue) = test_context(|_| ());
     let mut client = connect(start_fastcgi_server(&context));
     let params = [
-        ("SCRIPT_NAME", "/v1/any"),
+        ("SCRIPT_NAME", "/v1/tile-render"),
         ("HTTP_REQ_ID", "00000000000000aa"),
+        ("HTTP_REQ_OWNER", "acme"),
         ("HTTP_REQ_WAIT_MS", "900"),
         ("HTTP_REQ_KEY", common::FUNCTION),
     ];
--- a/heronslip/tests/transport.rs
+++ b/heronslip/tests/transport.rs
@@ -135,7 +135,9 @@
     Arc::new(Request {
         wire_id,
         class: "tile-render".to_owned(),
+        class_index: 0,
         tenant: String::new(),
+        tenant_index: None,
         function: 7,
         wait: 1_000_000,
         received_at: Instant::now(),
--- a/src/json.rs
+++ b/src/json.rs
@@ -23,12 +23,17 @@
     fields.get(key).and_then(as_object)
 }
 
+/// The value as an array, if it is one.
+pub fn as_array(value: &Value) -> Option<&[Value]> {
+    match value {
+        Value::Array(items) => Some(items),
+        _ => None,
+    }
+}
+
 /// The array at a key; empty if there is none.
 pub fn array<'a>(fields: &'a Object, key: &str) -> &'a [Value] {
-    match fields.get(key) {
-        Some(Value::Array(items)) => items,
-        _ => &[],
-    }
+    fields.get(key).and_then(as_array).unwrap_or_default()
 }
 
 /// The value as a string, if it is one.
@@ -67,9 +72,17 @@
     }
 }
 
+/// The value as a boolean, if it is one.
+pub fn as_bool(value: &Value) -> Option<bool> {
+    match value {
+        Value::Bool(value) => Some(*value),
+        _ => None,
+    }
+}
+
 /// The boolean at a key; false if absent.
 pub fn boolean(fields: &Object, key: &str) -> bool {
-    matches!(fields.get(key), Some(Value::Bool(true)))
+    fields.get(key).and_then(as_bool).unwrap_or(false)
 }
 
 /// The milliseconds at a key, as microseconds. A negative value or no number counts as 0 (`as` saturates).
