Reject FastCGI requests whose streams do not end or are out of order

Callers saw: a request whose PARAMS stream is never ended, or whose body begins before it, is forwarded and served, as is one whose BEGIN_REQUEST is shorter or longer than eight bytes.

Cause: a partial request kept the bytes of its streams, but not whether the empty PARAMS record had ended them; the end of the body alone made it complete. A parameter stream that is cut off between two pairs looked whole.

Change: PartialRequest knows whether its parameters have ended. A body before that, an end before that and parameters after it reject the request; a BEGIN_REQUEST of the wrong length closes the connection.

--- a/heronslip/src/server/fastcgi/reader.rs
+++ b/heronslip/src/server/fastcgi/reader.rs
@@ -124,9 +124,9 @@
                 }
                 Ok(())
             }
-            (kind::BEGIN_REQUEST, _) if is_whole => self.begin_request(id, content),
-            (kind::BEGIN_REQUEST, _) => Err("a BEGIN_REQUEST is too long".to_owned()),
+            (kind::BEGIN_REQUEST, _) => self.begin_request(id, content),
             (kind::ABORT_REQUEST, _) => self.abort_request(id),
+            (kind::PARAMS, _) if record_content == 0 => self.end_params(id),
             (kind::PARAMS, _) => self.append(id, Stream::Params, part),
             (kind::STDIN, _) if record_content == 0 => self.end_body(id),
             (kind::STDIN, _) => self.append(id, Stream::Body, part),
@@ -164,7 +164,9 @@
     }
 
     fn begin_request(&mut self, id: u16, content: &[u8]) -> Result<(), String> {
-        let [r0, r1, flags, ..] = content else { return Err("truncated BEGIN_REQUEST".to_owned()) };
+        let [r0, r1, flags, _, _, _, _, _] = content else {
+            return Err("a BEGIN_REQUEST of the wrong length".to_owned());
+        };
         let mut requests = self.connection.requests.lock().map_err(|_| POISONED)?;
         // A request rejected while it was read has ended for its client, which may use the id again.
         if requests.open.contains_key(&id) || requests.partial.get(&id).is_some_and(|p| !p.is_rejected()) {
@@ -239,6 +241,15 @@
         }
     }
 
+    /// Ends the parameters of a request.
+    fn end_params(&self, id: u16) -> Result<(), String> {
+        let mut requests = self.connection.requests.lock().map_err(|_| POISONED)?;
+        if let Some(partial) = requests.partial.get_mut(&id) {
+            partial.params_ended = true;
+        }
+        Ok(())
+    }
+
     /// Ends the body of a request, and with it the request.
     fn end_body(&mut self, id: u16) -> Result<(), String> {
         let mut requests = self.connection.requests.lock().map_err(|_| POISONED)?;
@@ -255,7 +266,12 @@
     /// Passes a complete request to the core, or answers it at once.
     fn complete_request(&mut self, id: u16, partial: PartialRequest) -> Result<(), String> {
         let received_at = Instant::now();
-        let PartialRequest { params, body, keep_connection, reservation, mut incoming, .. } = partial;
+        let PartialRequest { params, params_ended, body, keep_connection, reservation, mut incoming, .. } =
+            partial;
+        if !params_ended {
+            self.connection.reject(id, InvalidStream::ParametersNotEnded.into(), keep_connection);
+            return Ok(());
+        }
         let parameters = match Parameters::decode(&params) {
             Ok(parameters) => parameters,
             Err(rejection) => {
--- a/heronslip/src/server/fastcgi/requests.rs
+++ b/heronslip/src/server/fastcgi/requests.rs
@@ -47,6 +47,8 @@
     pub incoming: IncomingGuard,
     pub keep_connection: bool,
     pub params: Vec<u8>,
+    /// Whether the empty record that ends the parameters has arrived.
+    pub params_ended: bool,
     pub body: Vec<u8>,
     /// Its memory, reserved as it arrives: requests that are never completed take memory too. `None` once it
     /// has been rejected.
@@ -69,6 +71,12 @@
     TruncatedPair,
     #[error("a parameter has no name")]
     UnnamedParameter,
+    #[error("the request ends before its parameters do")]
+    ParametersNotEnded,
+    #[error("there are more parameters after their end")]
+    ParametersAfterEnd,
+    #[error("the body begins before the parameters end")]
+    BodyBeforeEndOfParameters,
     #[error("the parameters are too long")]
     ParametersTooLong,
     #[error("the body is too long")]
@@ -98,6 +106,7 @@
             incoming,
             keep_connection,
             params: Vec::new(),
+            params_ended: false,
             body: Vec::new(),
             reservation: Some(reservation),
             discarded: 0,
@@ -115,13 +124,19 @@
         self.keep_connection
     }
 
-    /// Adds a part of a record to one of its streams. `resize` changes the reservation.
+    /// Adds a part of a record to one of its streams.
     ///
     /// # Errors
-    /// Fails, and changes nothing, if the record makes the stream longer than allowed, or if memory is short.
+    /// Fails, and changes nothing, if the record does not belong there, if it makes the stream longer than
+    /// allowed, or if memory is short.
     pub fn append(
         &mut self, stream: Stream, part: &RecordPart<'_>, limits: &Limits,
     ) -> Result<(), Rejection> {
+        match stream {
+            Stream::Params if self.params_ended => return Err(InvalidStream::ParametersAfterEnd.into()),
+            Stream::Body if !self.params_ended => return Err(InvalidStream::BodyBeforeEndOfParameters.into()),
+            Stream::Params | Stream::Body => {}
+        }
         let (bytes, max, too_long) = match stream {
             Stream::Params => (&mut self.params, limits.max_head, InvalidStream::ParametersTooLong),
             Stream::Body => (&mut self.body, limits.max_body, InvalidStream::BodyTooLong),
--- a/heronslip/tests/request_validation.rs
+++ b/heronslip/tests/request_validation.rs
@@ -19,6 +19,52 @@
 /// The body of the sound request that follows the one under test.
 const SOUND_BODY: &str = "sound";
 
+const BEGIN_REQUEST: u8 = 1;
+const PARAMS: u8 = 4;
+const STDIN: u8 = 5;
+/// Length of a FastCGI record header.
+const RECORD_HEADER: usize = 8;
+/// Content of a BEGIN_REQUEST record: the role of a Responder, on a connection that stays open.
+const RESPONDER: [u8; 8] = [0, 1, 1, 0, 0, 0, 0, 0];
+
+/// A record of a request after its first.
+#[derive(Clone, Copy)]
+enum Part {
+    Params,
+    /// A further parameter.
+    More,
+    EndOfParams,
+    Body,
+    EndOfBody,
+}
+
+fn encode_records(records: &[(u8, &[u8])]) -> Vec<u8> {
+    records.iter().flat_map(|&(kind, content)| common::fastcgi_record(kind, 1, content)).collect()
+}
+
+fn encode_pairs<'a>(pairs: impl Iterator<Item = (&'a str, &'a [u8])>) -> Vec<u8> {
+    let encode = |(name, value): (&str, &[u8])| {
+        [&[name.len() as u8, value.len() as u8], name.as_bytes(), value].concat()
+    };
+    pairs.flat_map(encode).collect()
+}
+
+/// A sound request, but for the order and number of its records.
+fn request_of(parts: &[Part]) -> Vec<u8> {
+    let parameters = parameters_with(&[]);
+    let parameters = encode_pairs(parameters.iter().map(|(name, value)| (*name, value.as_bytes())));
+    let more = encode_pairs([("HTTP_USER_AGENT", &b"x"[..])].into_iter());
+    let mut records = vec![(BEGIN_REQUEST, &RESPONDER[..])];
+    records.extend(parts.iter().map(|part| match part {
+        Part::Params => (PARAMS, &parameters[..]),
+        Part::More => (PARAMS, &more[..]),
+        Part::EndOfParams => (PARAMS, &[][..]),
+        Part::Body => (STDIN, SOUND_BODY.as_bytes()),
+        Part::EndOfBody => (STDIN, &[][..]),
+    }));
+    encode_records(&records)
+}
+
 /// The parameters of a sound request, with some set to other values; `None` leaves a parameter out.
 fn parameters_with<'a>(changes: &[(&'a str, Option<&'a str>)]) -> Vec<(&'a str, &'a str)> {
     let sound = [
@@ -123,28 +169,67 @@
 #[case::no_text("HTTP_REQ_RETRY", b"\xff")]
 #[case::figures_that_are_no_text("HTTP_X_MORE", b"\xff:1")]
 fn a_fastcgi_request_with_contradicting_parameters_fails(#[case] name: &str, #[case] value: &[u8]) {
-    const PARAMS: u8 = 4;
-    const STDIN: u8 = 5;
-    let (context, queue) = test_context(|_| ());
-    let address = start_fastcgi_server(&context);
-    let mut pairs = Vec::new();
     let sound = parameters_with(&[("HTTP_X_MORE", None)]);
     let sound = sound.iter().map(|(name, value)| (*name, value.as_bytes()));
-    for (name, value) in sound.chain([(name, value)]) {
-        pairs.extend([name.len() as u8, value.len() as u8]);
-        pairs.extend([name.as_bytes(), value].concat());
-    }
-    let begin = common::fastcgi_record(1, 1, &[0, 1, 1, 0, 0, 0, 0, 0]);
-    let records = [(PARAMS, &pairs[..]), (PARAMS, &[]), (STDIN, &[])];
-    let records = records.map(|(kind, content)| common::fastcgi_record(kind, 1, content)).concat();
-    let mut client = connect(address);
-    client.write_all(&[begin, records].concat()).expect("written");
+    let pairs = encode_pairs(sound.chain([(name, value)]));
+    let (context, queue) = test_context(|_| ());
+    let mut client = connect(start_fastcgi_server(&context));
+    let records = [(BEGIN_REQUEST, &RESPONDER[..]), (PARAMS, &pairs), (PARAMS, &[]), (STDIN, &[])];
+    client.write_all(&encode_records(&records)).expect("written");
     let (head, _, _) = read_fastcgi_response(&mut client).expect("a response");
     assert!(head.starts_with("Status: 400"), "{head}");
     client.write_all(&fastcgi_request(1, &parameters_with(&[]), SOUND_BODY.as_bytes())).expect("written");
     assert_eq!(next_request(&queue).payload.bytes(), SOUND_BODY.as_bytes());
 }
 
+/// Guards against a served request whose streams do not end, or that are out of order.
+#[rstest]
+#[case::parameters_without_an_end(&[Part::Params, Part::Body, Part::EndOfBody])]
+#[case::no_end_and_no_body(&[Part::Params, Part::EndOfBody])]
+#[case::body_before_the_parameters(&[Part::Body, Part::Params, Part::EndOfParams, Part::EndOfBody])]
+#[case::body_amid_the_parameters(&[Part::Params, Part::Body, Part::EndOfParams, Part::EndOfBody])]
+#[case::parameters_after_their_end(&[Part::Params, Part::EndOfParams, Part::More, Part::EndOfBody])]
+#[case::parameters_after_the_body(&[Part::Params, Part::EndOfParams, Part::Body, Part::More, Part::EndOfBody])]
+fn a_fastcgi_request_with_invalid_streams_fails(#[case] parts: &[Part]) {
+    let (context, queue) = test_context(|_| ());
+    let mut client = connect(start_fastcgi_server(&context));
+    client.write_all(&request_of(parts)).expect("written");
+    let (head, _, _) = read_fastcgi_response(&mut client).expect("a response");
+    assert!(head.starts_with("Status: 400"), "{head}");
+    client.write_all(&fastcgi_request(1, &parameters_with(&[]), SOUND_BODY.as_bytes())).expect("written");
+    assert_eq!(next_request(&queue).payload.bytes(), SOUND_BODY.as_bytes());
+}
+
+/// A stream may come in any number of records.
+#[rstest]
+#[case::no_body(&[Part::Params, Part::EndOfParams, Part::EndOfBody], 0)]
+#[case::more_records(
+    &[Part::Params, Part::More, Part::EndOfParams, Part::Body, Part::Body, Part::EndOfBody], 2
+)]
+fn a_fastcgi_request_in_many_records_is_passed_on(#[case] parts: &[Part], #[case] bodies: usize) {
+    let (context, queue) = test_context(|_| ());
+    let mut client = connect(start_fastcgi_server(&context));
+    client.write_all(&request_of(parts)).expect("written");
+    assert_eq!(next_request(&queue).payload.bytes(), SOUND_BODY.repeat(bodies).as_bytes());
+}
+
+/// Guards against a served request whose first record is shorter or longer than the protocol says.
+#[rstest]
+#[case::short(3)]
+#[case::one_byte_short(7)]
+#[case::one_byte_long(9)]
+fn a_fastcgi_request_with_a_begin_of_the_wrong_length_closes_its_connection(#[case] length: usize) {
+    let (context, queue) = test_context(|_| ());
+    let mut client = connect(start_fastcgi_server(&context));
+    let begin = [&RESPONDER[..], &[0]].concat();
+    let rest = request_of(&[Part::Params, Part::EndOfParams, Part::EndOfBody]);
+    let rest = &rest[RECORD_HEADER + RESPONDER.len()..];
+    let bytes = [&common::fastcgi_record(BEGIN_REQUEST, 1, &begin[..length]), rest].concat();
+    client.write_all(&bytes).expect("written");
+    let closed = queue.recv_timeout(TIMEOUT).expect("the end of the connection");
+    assert!(matches!(closed, Message::ClientDisconnected { .. }));
+}
+
 /// Guards against the loss of sound requests to a validation that asks for more than the protocol does.
 #[rstest]
 #[case::no_figures("HTTP_X_MORE", None)]
