Reject HTTP heads that are not understood whole

Callers saw: the body of a KServe v2 request with "Transfer-Encoding: gzip, chunked", or with a second such header, is read as the next request and served. A signed Content-Length is read as a number, and what follows a second end of the head is dropped.

Cause: Head took any coding but "chunked" for none and let the last header count; usize::from_str takes a sign; the length that httparse reports was not compared with that of the head.

Change: one "chunked" is the only coding, lengths are digits, and a head is parsed to its end or fails. The same code reads the replies of workers and of discovery.

--- a/heronslip/src/http.rs
+++ b/heronslip/src/http.rs
@@ -28,7 +28,7 @@
     pub fn parse_request(head: &[u8]) -> Result<Head, String> {
         let mut headers = [httparse::EMPTY_HEADER; 64];
         let mut request = httparse::Request::new(&mut headers);
-        request.parse(head).map_err(|e| e.to_string())?;
+        check_whole(request.parse(head), head)?;
         let owned = |text: Option<&str>| text.unwrap_or_default().to_owned();
         let (method, target) = (owned(request.method), owned(request.path));
         let close = request.version == Some(0);
@@ -39,7 +39,7 @@
     pub fn parse_response(head: &[u8]) -> Result<Head, String> {
         let mut headers = [httparse::EMPTY_HEADER; 64];
         let mut response = httparse::Response::new(&mut headers);
-        response.parse(head).map_err(|e| e.to_string())?;
+        check_whole(response.parse(head), head)?;
         let close = response.version == Some(0);
         Head { status: response.code.unwrap_or(0), close, ..Head::default() }.with_headers(response.headers)
     }
@@ -50,13 +50,18 @@
             match header.name.to_ascii_lowercase().as_str() {
                 "content-length" => {
                     // Differing or malformed lengths would allow request smuggling.
-                    let length = value.parse().map_err(|_| "bad Content-Length")?;
+                    let is_number = value.bytes().all(|b| b.is_ascii_digit());
+                    let length = value.parse().ok().filter(|_| is_number).ok_or("bad Content-Length")?;
                     if self.length.is_some_and(|known| known != length) {
                         return Err("two lengths".to_owned());
                     }
                     self.length = Some(length);
                 }
-                "transfer-encoding" => self.chunked = value == "chunked",
+                // Without the coding it is not known where the body ends.
+                "transfer-encoding" if self.chunked || value != "chunked" => {
+                    return Err("unsupported Transfer-Encoding".to_owned());
+                }
+                "transfer-encoding" => self.chunked = true,
                 "connection" => self.close = value == "close" || self.close && value != "keep-alive",
                 "expect" => self.expects_continue = value == "100-continue",
                 _ => {}
@@ -69,6 +74,16 @@
     }
 }
 
+/// Checks that a head was parsed to its end: nothing may be left of it, as that would be dropped.
+fn check_whole(parsed: httparse::Result<usize>, head: &[u8]) -> Result<(), String> {
+    match parsed {
+        Ok(httparse::Status::Complete(length)) if length == head.len() => Ok(()),
+        Ok(httparse::Status::Complete(_)) => Err("bytes after the end of the head".to_owned()),
+        Ok(httparse::Status::Partial) => Err("the head is not complete".to_owned()),
+        Err(e) => Err(e.to_string()),
+    }
+}
+
 /// The meaning of one byte of a chunked body.
 #[derive(Debug, PartialEq)]
 pub enum ChunkedItem {
--- a/heronslip/tests/codecs.rs
+++ b/heronslip/tests/codecs.rs
@@ -83,6 +83,18 @@
 #[rstest]
 #[case::length_and_chunks("POST / HTTP/1.1\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n")]
 #[case::negative_length("POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n")]
+#[case::signed_length("POST / HTTP/1.1\r\nContent-Length: +1\r\n\r\n")]
+#[case::empty_length("POST / HTTP/1.1\r\nContent-Length: \r\n\r\n")]
+#[case::list_of_lengths("POST / HTTP/1.1\r\nContent-Length: 1, 1\r\n\r\n")]
+#[case::huge_length("POST / HTTP/1.1\r\nContent-Length: 18446744073709551617\r\n\r\n")]
+#[case::another_coding("POST / HTTP/1.1\r\nTransfer-Encoding: gzip\r\n\r\n")]
+#[case::two_codings("POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n")]
+#[case::a_coding_after_chunks(
+    "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n"
+)]
+#[case::chunked_twice("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n")]
+#[case::a_second_end("POST / HTTP/1.1\nContent-Length: 0\n\nContent-Length: 9\r\n\r\n")]
+#[case::incomplete("POST / HTTP/1.1\r\nContent-Length: 1\r\n")]
 #[case::no_request_line("\0\r\n\r\n")]
 fn invalid_heads_are_rejected(#[case] head: &str) {
     assert!(Head::parse_request(head.as_bytes()).is_err());
--- a/heronslip/tests/request_validation.rs
+++ b/heronslip/tests/request_validation.rs
@@ -332,6 +332,24 @@
     assert_eq!(next_request(&queue).payload.bytes(), sound.as_bytes());
 }
 
+/// Guards against a body that is read as the next request, or a head that is read only in part.
+#[rstest]
+#[case::another_coding("Transfer-Encoding: gzip, chunked\r\n\r\n")]
+#[case::a_second_coding("Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n")]
+#[case::a_signed_length("Content-Length: +0\r\n\r\n")]
+#[case::a_second_end("\n\r\n\r\n")]
+fn a_kserve_request_with_an_invalid_head_closes_its_connection(#[case] headers: &str) {
+    let (context, queue) = test_context(|_| ());
+    let mut client = connect(start_server(&context, kserve::serve));
+    let smuggled = infer(&body_with(""));
+    let get = format!("GET /v2 HTTP/1.1\r\n{headers}");
+    client.write_all(&[get.as_bytes(), &smuggled].concat()).expect("written");
+    let (head, _) = read_http_message(&mut client).expect("a response");
+    assert!(head.starts_with("HTTP/1.1 400"), "{head}");
+    let closed = queue.recv_timeout(TIMEOUT).expect("the end of the connection");
+    assert!(matches!(closed, Message::ClientDisconnected { .. }));
+}
+
 /// Guards against the loss of sound KServe v2 requests, and against a body whose nesting takes up the stack.
 #[rstest]
 #[case::no_further_parameters(body_with(""))]
