Refuse KServe v2 bodies whose objects state a member twice

Callers saw: a body with "lanes":1 and a second, other "lanes" is served, although the two contradict each other. The body is passed on unchanged, so a worker may keep another of the two than the front end checked.

Cause: the JSON parser keeps the last member of a name.

Change: the members that the text states are counted, and must be as many as the parser kept.

Evidence: of the four cases of request_validation.rs that state a member twice, three are served on the commit before (the fourth states 0 lanes last, which is out of range anyway); all four are refused now. Colons within strings do not count (marks_in_text).

--- a/heronslip/src/server/kserve/body.rs
+++ b/heronslip/src/server/kserve/body.rs
@@ -12,8 +12,12 @@
 pub fn decode_request(
     name: &str, body: Vec<u8>, default_wait_ms: f64,
 ) -> Result<StatedRequest, InvalidRequest> {
-    let json = std::str::from_utf8(&body).ok().and_then(|text| parse(text).ok());
-    let fields = json.as_ref().and_then(as_object).ok_or(InvalidRequest::Malformed(Field::Body))?;
+    let text = std::str::from_utf8(&body).map_err(|_| InvalidRequest::Malformed(Field::Body))?;
+    let json = parse(text).map_err(|_| InvalidRequest::Malformed(Field::Body))?;
+    let fields = as_object(&json).ok_or(InvalidRequest::Malformed(Field::Body))?;
+    if count_stated_members(text) != count_members(&json) {
+        return Err(InvalidRequest::Ambiguous(Field::Body));
+    }
     if fields.get("inputs").is_some_and(|inputs| !are_tensors(inputs)) {
         return Err(InvalidRequest::Malformed(Field::Inputs));
     }
@@ -58,6 +62,38 @@
     Ok(id.and_then(parse_id).unwrap_or_else(|| RandomState::new().hash_one(id)))
 }
 
+/// The number of members of all objects in a JSON text. Members with the same name count each: the parser
+/// keeps the last of them, but the worker that gets the text may keep another.
+fn count_stated_members(text: &str) -> usize {
+    let (mut members, mut in_string, mut escaped) = (0, false, false);
+    for byte in text.bytes() {
+        match byte {
+            _ if escaped => escaped = false,
+            b'\\' => escaped = in_string,
+            b'"' => in_string = !in_string,
+            b':' if !in_string => members += 1,
+            _ => {}
+        }
+    }
+    members
+}
+
+/// The number of members of all objects in a value, which may be nested deeply.
+fn count_members(value: &Value) -> usize {
+    let (mut members, mut pending) = (0, vec![value]);
+    while let Some(value) = pending.pop() {
+        match value {
+            Value::Array(items) => pending.extend(items),
+            Value::Object(fields) => {
+                members += fields.len();
+                pending.extend(fields.values());
+            }
+            _ => {}
+        }
+    }
+    members
+}
+
 /// Whether a value is an array of tensors.
 fn are_tensors(value: &Value) -> bool {
     as_array(value).is_some_and(|items| items.iter().all(|item| as_object(item).is_some_and(is_tensor)))
--- a/heronslip/tests/request_validation.rs
+++ b/heronslip/tests/request_validation.rs
@@ -306,6 +306,12 @@
 #[case::no_key_in_a_keyed_class(r#"{"parameters":{"class":"tile-order","tenant":"acme"}}"#.to_owned())]
 #[case::parameters_as_text(r#"{"parameters":"tile-render"}"#.to_owned())]
 #[case::id_as_a_number(r#"{"id":7,"parameters":{"class":"tile-render","tenant":"acme"}}"#.to_owned())]
+#[case::two_lanes(body_with(r#","lanes":1,"lanes":0"#))]
+#[case::two_lanes_with_an_escape(body_with(r#","lanes":1,"l\u0061nes":2"#))]
+#[case::two_parameters(format!(r#"{{"parameters":{{"class":"tile-order"}},{}"#, &body_with("")[1..]))]
+#[case::two_shapes(body_with_input(
+    r#"{"name":"a","shape":[1],"shape":[1],"datatype":"BYTES","data":["x"]}"#
+))]
 #[case::two_values(format!("{}{}", body_with(""), body_with("")))]
 #[case::cut_off(body_with("").replace("]}", ""))]
 #[case::no_object("[]".to_owned())]
@@ -356,6 +362,7 @@
 #[case::all_parameters(body_with(
     r#","wait_ms":1500.5,"memory_mb":512,"lanes":2,"load_ms":0,"retry":true,"token":"5c0f","trace":"x""#
 ))]
+#[case::marks_in_text(body_with(r#","trace":"a\":\\","note":":::{\"lanes\":0}""#))]
 #[case::no_inputs(r#"{"parameters":{"class":"tile-render","tenant":"acme"}}"#.to_owned())]
 #[case::no_id(body_with("").replacen('{', r#"{"id":null,"#, 1))]
 #[case::any_id(body_with("").replacen('{', r#"{"id":"request 7","#, 1))]
