Reset worker connections that may hold what was not delivered

Cause: connections were closed by shutdown(Both). The system keeps what it has not delivered, and delivers it once the worker is reached again.

Change: SO_LINGER of 0 on a connection that fails, or that closes while an exchange may be undelivered. An attempt or load command that is given up stays under the liveness checks until a reply is read, as a silent connection would deliver it together with its cancel. KServe v2 connections likewise.

--- a/heronslip/src/net.rs
+++ b/heronslip/src/net.rs
@@ -3,6 +3,7 @@
 use crate::hang_up::{has_hung_up, HangUpWatcher};
 use crate::limits::Limits;
 use may::net::TcpStream;
+use socket2::SockRef;
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -43,6 +44,13 @@
     matches!(e.kind(), ErrorKind::TimedOut | ErrorKind::WouldBlock | ErrorKind::Interrupted)
 }
 
+/// Has the system drop what a connection has not delivered once its descriptor closes, in place of delivering it
+/// whenever the other side is reached again.
+pub fn reset_when_closed(stream: &TcpStream) {
+    // Fails only if the connection has ended already.
+    let _ = SockRef::from(stream.inner()).set_linger(Some(Duration::ZERO));
+}
+
 /// A connection that one coroutine reads and another writes, through one descriptor.
 ///
 /// `may` lets only one coroutine wait on a descriptor. That is the reader; a writer that finds no room tries
@@ -85,6 +93,12 @@
         let _ = self.stream.shutdown(Shutdown::Both); // fails if the other side has already closed the connection
     }
 
+    /// Closes both directions, and drops what has not been delivered.
+    pub fn reset(&self) {
+        reset_when_closed(&self.stream);
+        self.close();
+    }
+
     /// Writes what the socket has room for, at once. Fails, see [`is_timeout`], if it has none.
     pub fn write_some(&self, bytes: &[u8]) -> io::Result<usize> {
         self.stream.inner().write(bytes)
--- a/heronslip/src/worker/frames/exchange.rs
+++ b/heronslip/src/worker/frames/exchange.rs
@@ -137,6 +137,17 @@
     pub(super) broken: bool,
     /// When the last reply was read.
     pub(super) last_reply: Option<Instant>,
+    /// The first of the exchanges that are no longer awaited and of which no later reply shows that the
+    /// connection has delivered them.
+    pub(super) undelivered: Option<Abandoned>,
+}
+
+/// An exchange that was written and is no longer awaited.
+#[derive(Clone, Copy)]
+pub(super) struct Abandoned {
+    pub(super) started: Instant,
+    /// The function whose copies a liveness check queries.
+    pub(super) function: FunctionId,
 }
 
 impl ExchangeTable {
@@ -146,6 +157,27 @@
         self.pending.contains_key(&id) || self.ended_ids.contains(&id)
     }
 
+    /// Keeps an exchange that is no longer awaited under the liveness checks, unless a reply has come since it
+    /// was written: a connection that has fallen silent would deliver it much later.
+    pub(super) fn abandon(&mut self, exchange: &PendingExchange) {
+        let is_confirmed = self.last_reply.is_some_and(|reply| reply >= exchange.started);
+        if !is_confirmed && matches!(exchange.key, ExchangeKey::Attempt(_) | ExchangeKey::Load(_)) {
+            let abandoned = Abandoned { started: exchange.started, function: exchange.function };
+            self.undelivered.get_or_insert(abandoned);
+        }
+    }
+
+    /// Whether the worker may not have received all exchanges that were written.
+    pub(super) fn may_hold_undelivered(&self) -> bool {
+        !self.pending.is_empty() || self.undelivered.is_some()
+    }
+
+    /// Records that a reply was read.
+    pub(super) fn reply_read(&mut self, now: Instant) {
+        self.last_reply = Some(now);
+        self.undelivered = None;
+    }
+
     pub(super) fn remember_ended(&mut self, id: u64) {
         if self.ended_ids.len() >= REMEMBERED_IDS {
             self.ended_ids.pop_front();
@@ -165,6 +197,13 @@
     pub(super) exchanges: Mutex<ExchangeTable>,
 }
 
+impl ConnectionState {
+    /// Whether the connection must be reset, so that the worker does not receive an exchange after its end.
+    pub(super) fn must_reset(&self) -> bool {
+        self.exchanges.lock().is_ok_and(|table| table.may_hold_undelivered())
+    }
+}
+
 /// A load command; with 0 copies, a copy query.
 pub(super) fn load_frame(id: u64, function: FunctionId, copies: u32) -> Vec<u8> {
     encode(CODE_LOAD, id, &format!("path={function:016x},slots_up={copies}"), &[])
--- a/heronslip/src/worker/frames/mod.rs
+++ b/heronslip/src/worker/frames/mod.rs
@@ -192,8 +192,9 @@
     }
 
     /// Guards calls against a connection that stays open but delivers nothing any more: its pending calls
-    /// would wait for their whole budget, and new calls would join them. A copy query, which changes nothing
-    /// at the worker, shows whether the connection works.
+    /// would wait for their whole budget, new calls would join them, and calls whose clients have left would
+    /// be delivered late. A copy query, which changes nothing at the worker, shows whether the connection
+    /// works.
     fn check_liveness(&mut self) {
         let limits = self.limits.clone();
         for connection in self.connections.iter_mut().filter(|c| !c.state.broken.load(Ordering::Acquire)) {
@@ -205,9 +206,12 @@
                 };
                 table.pending.values().filter(is_guarded)
             };
-            let oldest = pending().min_by_key(|e| e.started).map(|e| (e.started, e.function));
+            let awaited = pending().map(|e| (e.started, e.function));
+            let undelivered = table.undelivered.map(|e| (e.started, e.function));
+            let oldest = awaited.chain(undelivered).min_by_key(|(started, _)| *started);
             let last_reply = table.last_reply;
-            let started_since = pending().any(|e| last_reply.is_none_or(|reply| e.started > reply));
+            let started_since =
+                undelivered.is_some() || pending().any(|e| last_reply.is_none_or(|reply| e.started > reply));
             drop(table);
             match (connection.check_sent, oldest) {
                 (Some(sent), _) if last_reply.is_some_and(|reply| reply >= sent) => {
--- a/heronslip/src/worker/frames/reader.rs
+++ b/heronslip/src/worker/frames/reader.rs
@@ -37,7 +37,11 @@
             break Err(e.to_string());
         }
     };
-    stream.close();
+    if end.is_err() || state.must_reset() {
+        stream.reset();
+    } else {
+        stream.close();
+    }
     end
 }
 
@@ -50,7 +54,7 @@
         let outcome = outcome(frame.code).ok_or_else(|| format!("unknown code {}", frame.code))?;
         let exchange = {
             let mut table = state.exchanges.lock().map_err(|_| POISONED)?;
-            table.last_reply = Some(Instant::now());
+            table.reply_read(Instant::now());
             let exchange = table.pending.remove(&frame.id);
             // After a reply that says that nothing ran, another attempt under the same id may follow here.
             if exchange.is_some() && outcome == Outcome::Ok {
--- a/heronslip/src/worker/frames/writer.rs
+++ b/heronslip/src/worker/frames/writer.rs
@@ -79,7 +79,12 @@
             self.waiting.push_back(command);
             end = self.write_all(&stream, commands);
         }
-        stream.close(); // ends the reader
+        // Either ends the reader.
+        if end.is_err() || self.state.must_reset() {
+            stream.reset();
+        } else {
+            stream.close();
+        }
         end
     }
 
@@ -294,7 +299,8 @@
     fn remove_exchange(&self, key: ExchangeKey) -> Option<u64> {
         let mut table = self.state.exchanges.lock().ok()?;
         let id = table.pending.iter().find(|(_, e)| e.key == key).map(|(&id, _)| id)?;
-        table.pending.remove(&id);
+        let exchange = table.pending.remove(&id)?;
+        table.abandon(&exchange);
         if matches!(key, ExchangeKey::Attempt(_)) {
             table.remember_ended(id);
         }
--- a/heronslip/src/worker/kserve.rs
+++ b/heronslip/src/worker/kserve.rs
@@ -6,7 +6,7 @@
 use crate::http::{ChunkedDecoder, ChunkedItem, Head};
 use crate::limits::Limits;
 use crate::messages::{AttemptKey, AttemptReport, Payload, Request};
-use crate::net::{is_timeout, spawn};
+use crate::net::{is_timeout, reset_when_closed, spawn};
 use crate::queue::{queue, ReceiveError, Receiver, Sender};
 use crate::ring::RingBuffer;
 use base64::{engine::general_purpose::STANDARD, Engine};
@@ -376,8 +376,9 @@
             self.stream = Some((stream, Instant::now()));
             return Err(Outcome::NotSent);
         }
-        self.write(&mut stream, job)?;
-        let (reply, reusable) = self.read(&mut stream, job).map_err(|why| {
+        self.write(&mut stream, job).inspect_err(|_| reset_when_closed(&stream))?;
+        let result = self.read(&mut stream, job).inspect_err(|_| reset_when_closed(&stream));
+        let (reply, reusable) = result.map_err(|why| {
             if !job.flags.is_cancelled() {
                 log_limited!("worker {}: no complete reply, the request may have run: {why}", self.address);
             }
