Send a call again on another connection than the one that answered it

Cause: after an answer that says that nothing ran, the next attempt went out on the same connection under the same id, and the second copy of the answer was taken for its end. Only ids of served and cancelled calls were remembered.

Change: a connection remembers the ids of all answered calls, and the transport takes or opens another one for the next attempt, within the limit on worker connections.

The test that a rejected call may be sent again asked for the same connection, which is the fault. The new one asks for the same worker and id, for each answer that proves that nothing ran, and sends a second copy in between.

--- a/heronslip/src/core/actions.rs
+++ b/heronslip/src/core/actions.rs
@@ -9,6 +9,15 @@
 /// When the limit on worker connections is reached, this fraction (1/32) of the limit is closed at a time.
 const IDLE_EVICTION_DIVISOR: usize = 32;
 
+/// What a worker connection is needed for.
+#[derive(Clone, Copy)]
+enum ConnectionUse {
+    /// A call, with the id that the worker receives.
+    Call(u64),
+    /// A load command, a copy query or a probe.
+    Command,
+}
+
 impl Core {
     pub(super) fn perform(&mut self, action: Action) {
         let now = self.clock.now();
@@ -43,7 +52,7 @@
                 self.load_commands.insert(command, sent);
                 // A draining worker must not get a load command, whatever the controller assumes.
                 let may_send = |w: &&mut Worker| w.listing.state == WorkerState::Ready || count == 0;
-                let has_connection = self.reserve_connection(&worker, true);
+                let has_connection = self.reserve_connection(&worker, ConnectionUse::Command);
                 let until = self.lease_end(&worker);
                 match self.workers.get_for_send(&worker).filter(may_send) {
                     Some(worker) if has_connection => {
@@ -58,7 +67,7 @@
                 log_limited!("worker {worker}: sending a probe, as it is no longer known to be ready");
                 self.last_id += 1;
                 let probe = self.last_id;
-                let has_connection = self.reserve_connection(&worker, true);
+                let has_connection = self.reserve_connection(&worker, ConnectionUse::Command);
                 match self.workers.get_for_send(&worker) {
                     Some(worker) if has_connection => worker.transport.send_probe(probe),
                     Some(_) => self.reports.probe_ended(probe, Outcome::NotSent, None),
@@ -68,7 +77,7 @@
                 self.timers.schedule(now + self.limits.probe_timeout, Timer::ProbeTimeout(probe));
             }
             Action::Unload { worker, function } => {
-                let has_connection = self.reserve_connection(&worker, true);
+                let has_connection = self.reserve_connection(&worker, ConnectionUse::Command);
                 if let Some(worker) = self.workers.get_for_send(&worker).filter(|_| has_connection) {
                     worker.transport.unload(function);
                 }
@@ -108,12 +117,15 @@
     /// connections, which bounds the descriptors, some of the idle connections are closed, least recently
     /// used first. Commands and probes may use three quarters of the limit and leave the rest to calls: a new
     /// function may be queried at all workers at once.
-    fn reserve_connection(&mut self, worker: &str, is_command: bool) -> bool {
-        if !self.workers.get(worker).is_some_and(|w| w.transport.connections().needs_new) {
+    fn reserve_connection(&mut self, worker: &str, purpose: ConnectionUse) -> bool {
+        let limit = self.limits.worker_connections;
+        let (call, max_connections) = match purpose {
+            ConnectionUse::Call(wire_id) => (Some(wire_id), limit),
+            ConnectionUse::Command => (None, limit - limit / 4),
+        };
+        if !self.workers.get(worker).is_some_and(|w| w.transport.needs_connection(call)) {
             return true;
         }
-        let limit = self.limits.worker_connections;
-        let max_connections = if is_command { limit - limit / 4 } else { limit };
         // Several at a time: finding the longest idle connections is too costly for each exchange.
         let has_room = self.workers.connections() < max_connections
             || self.workers.close_idle(limit / IDLE_EVICTION_DIVISOR + 1) > 0
@@ -138,7 +150,8 @@
         let Some(open) = self.requests.get_mut(&id) else { return };
         open.attempts.push(Attempt { worker: worker.clone(), sent_at: now, open: true, may_have_run: true });
         let still_needed = !open.answered && !open.client.has_left() && budget > 0;
-        let has_connection = still_needed && self.reserve_connection(&worker, false);
+        let has_connection =
+            still_needed && self.reserve_connection(&worker, ConnectionUse::Call(request.wire_id));
         let is_ready = |w: &&mut Worker| w.listing.state == WorkerState::Ready;
         let start_deadline = self.start_deadline(key, &worker);
         match self.workers.get_for_send(&worker).filter(is_ready) {
--- a/heronslip/src/core/worker_pool.rs
+++ b/heronslip/src/core/worker_pool.rs
@@ -49,7 +49,7 @@
     }
 
     fn connections(&self) -> usize {
-        self.former_transports.iter().chain([&self.transport]).map(|t| t.connections().open).sum()
+        self.former_transports.iter().chain([&self.transport]).map(|t| t.open_connections()).sum()
     }
 }
 
--- a/heronslip/src/worker/frames/exchange.rs
+++ b/heronslip/src/worker/frames/exchange.rs
@@ -12,8 +12,8 @@
 /// A call's frame of which no byte has been written this long after it was encoded is removed: the budget in
 /// it would tell the worker of more time than is left.
 const MAX_BUDGET_AGE: Duration = Duration::from_millis(100);
-/// Ids of ended calls that a connection remembers. A reply that crosses its cancel, or comes twice, arrives
-/// within fewer calls than this.
+/// Ids of ended calls of each kind that a connection remembers. A reply that crosses its cancel, or comes twice,
+/// arrives within fewer calls than this.
 const REMEMBERED_IDS: usize = 256;
 /// Why a connection ends after a panic while its exchanges were locked.
 pub(super) const POISONED: &str = "the lock of the connection's exchanges is poisoned";
@@ -131,9 +131,11 @@
 #[derive(Default)]
 pub(super) struct ExchangeTable {
     pub(super) pending: BTreeMap<u64, PendingExchange>,
-    /// Ids of calls that were cancelled or served on this connection, oldest first: another reply to them may
-    /// come.
-    pub(super) ended_ids: VecDeque<u64>,
+    /// Ids of calls that were cancelled or served on this connection: another reply to them may come.
+    ended: RememberedIds,
+    /// Ids of calls that had another reply on this connection, which may come a second time. Another attempt
+    /// under such an id needs another connection.
+    answered: RememberedIds,
     pub(super) broken: bool,
     /// When the last reply was read.
     pub(super) last_reply: Option<Instant>,
@@ -154,7 +156,20 @@
     /// Whether a reply under this id could belong to another exchange. The ids of load commands, copy queries
     /// and probes are never reused.
     pub(super) fn is_id_in_use(&self, id: u64) -> bool {
-        self.pending.contains_key(&id) || self.ended_ids.contains(&id)
+        self.pending.contains_key(&id) || self.ended.contains(id) || self.answered.contains(id)
+    }
+
+    /// Whether a call under this id had a reply here that allows another attempt.
+    pub(super) fn is_answered(&self, id: u64) -> bool {
+        self.answered.contains(id)
+    }
+
+    /// Remembers that a call was cancelled, or had a reply with this outcome.
+    pub(super) fn remember(&mut self, id: u64, outcome: Outcome) {
+        match outcome {
+            Outcome::Ok | Outcome::Cancelled => self.ended.push(id),
+            _ => self.answered.push(id),
+        }
     }
 
     /// Keeps an exchange that is no longer awaited under the liveness checks, unless a reply has come since it
@@ -177,12 +192,22 @@
         self.last_reply = Some(now);
         self.undelivered = None;
     }
+}
+
+/// The latest ids of some calls, oldest first.
+#[derive(Default)]
+struct RememberedIds(VecDeque<u64>);
+
+impl RememberedIds {
+    fn contains(&self, id: u64) -> bool {
+        self.0.contains(&id)
+    }
 
-    pub(super) fn remember_ended(&mut self, id: u64) {
-        if self.ended_ids.len() >= REMEMBERED_IDS {
-            self.ended_ids.pop_front();
+    fn push(&mut self, id: u64) {
+        if self.0.len() >= REMEMBERED_IDS {
+            self.0.pop_front();
         }
-        self.ended_ids.push_back(id);
+        self.0.push_back(id);
     }
 }
 
--- a/heronslip/src/worker/frames/mod.rs
+++ b/heronslip/src/worker/frames/mod.rs
@@ -10,7 +10,7 @@
 pub use exchange::StartCondition;
 pub use write_queue::{RemovedFrames, WriteQueue};
 
-use super::{ConnectionUsage, ReportSender, Transport};
+use super::{ReportSender, Transport};
 use crate::limits::Limits;
 use crate::messages::{AttemptKey, Request};
 use crate::net::{next_connection_id, spawn};
@@ -47,14 +47,18 @@
         FrameTransport { address, limits, reports, connections: Vec::new() }
     }
 
-    /// Index of a connection that can take another exchange.
-    fn connection_with_room(&self) -> Option<usize> {
+    /// Index of a connection that can take another exchange; `call` is its id, if it is a call.
+    ///
+    /// A connection on which a call was answered takes no other attempt under its id: a second copy of that
+    /// reply could not be told from the reply to the other attempt.
+    fn connection_with_room(&self, call: Option<u64>) -> Option<usize> {
         let streams = self.limits.streams_per_connection;
         self.connections.iter().position(|c| {
             let state = &c.state;
             !state.broken.load(Ordering::Acquire)
                 && !state.retired.load(Ordering::Acquire)
                 && state.pending.load(Ordering::Acquire) < streams
+                && call.is_none_or(|id| state.exchanges.lock().is_ok_and(|table| !table.is_answered(id)))
         })
     }
 
@@ -67,9 +71,10 @@
             .min_by_key(|&index| self.connections[index].last_used)
     }
 
-    /// A connection that can take another exchange; opens one if there is none.
-    fn connection(&mut self) -> &mut Connection {
-        let index = self.connection_with_room().unwrap_or_else(|| {
+    /// A connection that can take another exchange, see [`FrameTransport::connection_with_room`]; opens one if
+    /// there is none.
+    fn connection(&mut self, call: Option<u64>) -> &mut Connection {
+        let index = self.connection_with_room(call).unwrap_or_else(|| {
             let (commands, queue) = channel();
             let state = Arc::new(ConnectionState::default());
             let (address, limits) = (self.address, self.limits.clone());
@@ -111,7 +116,8 @@
         &mut self, key: ExchangeKey, id: u64, function: FunctionId, condition: StartCondition,
         first_frame: FirstFrame,
     ) {
-        let connection = self.connection();
+        let call = matches!(key, ExchangeKey::Attempt(_)).then_some(id);
+        let connection = self.connection(call);
         connection.state.pending.fetch_add(1, Ordering::AcqRel);
         // If the writer has ended, the core's timer ends the exchange.
         let _ = connection.commands.send(Command::Start { key, id, function, first_frame, condition });
@@ -145,10 +151,12 @@
         self.connections.is_empty()
     }
 
-    fn connections(&self) -> ConnectionUsage {
-        let is_open = |c: &&Connection| !c.state.broken.load(Ordering::Acquire);
-        let open = self.connections.iter().filter(is_open).count();
-        ConnectionUsage { open, needs_new: self.connection_with_room().is_none() }
+    fn open_connections(&self) -> usize {
+        self.connections.iter().filter(|c| !c.state.broken.load(Ordering::Acquire)).count()
+    }
+
+    fn needs_connection(&self, call: Option<u64>) -> bool {
+        self.connection_with_room(call).is_none()
     }
 
     fn idle_since(&self) -> Option<Instant> {
@@ -184,7 +192,7 @@
 
     fn unload(&mut self, function: FunctionId) {
         let frame = encode(CODE_UNLOAD, function, "", &[]);
-        let _ = self.connection().commands.send(Command::OneWay(frame)); // nothing waits for it
+        let _ = self.connection(None).commands.send(Command::OneWay(frame)); // nothing waits for it
     }
 
     fn retire(&mut self) {
--- a/heronslip/src/worker/frames/reader.rs
+++ b/heronslip/src/worker/frames/reader.rs
@@ -56,9 +56,8 @@
             let mut table = state.exchanges.lock().map_err(|_| POISONED)?;
             table.reply_read(Instant::now());
             let exchange = table.pending.remove(&frame.id);
-            // After a reply that says that nothing ran, another attempt under the same id may follow here.
-            if exchange.is_some() && outcome == Outcome::Ok {
-                table.remember_ended(frame.id);
+            if exchange.as_ref().is_some_and(|exchange| matches!(exchange.key, ExchangeKey::Attempt(_))) {
+                table.remember(frame.id, outcome);
             }
             exchange
         };
--- a/heronslip/src/worker/frames/writer.rs
+++ b/heronslip/src/worker/frames/writer.rs
@@ -302,7 +302,7 @@
         let exchange = table.pending.remove(&id)?;
         table.abandon(&exchange);
         if matches!(key, ExchangeKey::Attempt(_)) {
-            table.remember_ended(id);
+            table.remember(id, Outcome::Cancelled);
         }
         self.state.pending.fetch_sub(1, Ordering::AcqRel);
         Some(id)
--- a/heronslip/src/worker/kserve.rs
+++ b/heronslip/src/worker/kserve.rs
@@ -1,7 +1,7 @@
 //! KServe v2 over HTTP/1.1 to one worker. Each connection carries one exchange at a time. Load commands, copy
 //! queries and unloads use the model repository extension.
 use super::frames::StartCondition;
-use super::{resize_reply, ConnectionUsage, ReportSender, Transport};
+use super::{resize_reply, ReportSender, Transport};
 use crate::coop::{Budget, Group};
 use crate::http::{ChunkedDecoder, ChunkedItem, Head};
 use crate::limits::Limits;
@@ -232,10 +232,14 @@
         self.state.pending.load(Ordering::Acquire) == 0
     }
 
-    fn connections(&self) -> ConnectionUsage {
+    fn open_connections(&self) -> usize {
+        self.state.connections.load(Ordering::Acquire)
+    }
+
+    fn needs_connection(&self, _: Option<u64>) -> bool {
         // `Limits::connections_per_kserve_worker` bounds these connections, so the transport never asks for
         // another.
-        ConnectionUsage { open: self.state.connections.load(Ordering::Acquire), needs_new: false }
+        false
     }
 
     fn idle_since(&self) -> Option<Instant> {
--- a/heronslip/src/worker/mod.rs
+++ b/heronslip/src/worker/mod.rs
@@ -60,15 +60,6 @@
     reservation.resize(bytes).then_some(()).ok_or(OutOfReplyMemory)
 }
 
-/// How many connections a transport uses.
-#[derive(Clone, Copy, Debug)]
-pub struct ConnectionUsage {
-    /// Connections that are open or being opened.
-    pub open: usize,
-    /// Whether the next exchange needs a new connection.
-    pub needs_new: bool,
-}
-
 /// Carries exchanges to one worker. No method blocks: coroutines do the I/O.
 ///
 /// Load commands, copy queries and probes share one number space.
@@ -87,8 +78,10 @@
     fn abandon(&mut self, command: u64);
     /// Whether nothing is open any more, so that the transport can be dropped.
     fn is_idle(&self) -> bool;
-    /// How many connections are in use.
-    fn connections(&self) -> ConnectionUsage;
+    /// How many connections are open or being opened.
+    fn open_connections(&self) -> usize;
+    /// Whether the next exchange needs a new connection; `call` is the id of the request, if it is a call.
+    fn needs_connection(&self, call: Option<u64>) -> bool;
     /// Since when the connection that has been idle longest has had no exchange.
     fn idle_since(&self) -> Option<Instant>;
     /// Closes the connection that has been idle longest.
--- a/heronslip/tests/common/mod.rs
+++ b/heronslip/tests/common/mod.rs
@@ -76,6 +76,8 @@
     pub const NOT_LOADED: u8 = 202;
     pub const REJECTED: u8 = 203;
     pub const ERROR: u8 = 204;
+    /// Reply to a call: its budget was used up before it ran.
+    pub const EXPIRED: u8 = 205;
     /// Reply to a probe: the worker accepts work.
     pub const ACCEPTING: u8 = 206;
     /// Reply to a probe: the worker does not accept work.
--- a/heronslip/tests/transport.rs
+++ b/heronslip/tests/transport.rs
@@ -284,24 +284,43 @@
     assert_eq!(attempt_end(&reports), (second, Outcome::NotSent));
 }
 
-/// A call that was rejected without a run may be sent again to the same worker, on the same connection and
-/// under its id.
-#[test]
-fn a_rejected_call_may_be_sent_again() {
+/// A call that did not run may be sent again to the same worker under its id. Guards against a call that runs
+/// twice: a second copy of the reply to the first attempt must not end the second, so that goes over a connection
+/// of its own.
+#[rstest]
+#[case::not_loaded(code::NOT_LOADED, Outcome::Miss)]
+#[case::rejected(code::REJECTED, Outcome::Rejected)]
+#[case::expired(code::EXPIRED, Outcome::NotSent)]
+fn a_call_that_did_not_run_is_sent_again_on_another_connection(
+    #[case] reply_code: u8, #[case] outcome: Outcome,
+) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port");
     let (queue, reports) = mpsc::channel();
     let limits = Limits::new(192, 1024, &Settings::default());
     let mut transport = frame_transport(listener.local_addr().expect("bound"), limits, queue);
-    let mut stream = None;
-    let replies = [(code::REJECTED, Outcome::Rejected), (code::OK, Outcome::Ok)];
-    for (attempt, (reply_code, outcome)) in replies.into_iter().enumerate() {
-        let key = AttemptKey { request: 1, attempt };
-        transport.send_attempt(key, &request(9), 1_000_000, None);
-        let stream = stream.get_or_insert_with(|| listener.accept().expect("a connection").0);
-        assert_eq!(read_command(stream).0, code::CALL);
-        write_reply(stream, reply_code, 9, "");
-        assert_eq!(attempt_end(&reports), (key, outcome));
-    }
+    let [first, second] = [0, 1].map(|attempt| AttemptKey { request: 1, attempt });
+    let other = AttemptKey { request: 2, attempt: 0 };
+    transport.send_attempt(first, &request(9), 60_000_000, None);
+    let (mut stream, _) = listener.accept().expect("a connection");
+    assert_eq!(read_command(&mut stream).0, code::CALL);
+    write_reply(&mut stream, reply_code, 9, "");
+    assert_eq!(attempt_end(&reports), (first, outcome));
+    transport.send_attempt(second, &request(9), 60_000_000, None);
+    write_reply(&mut stream, reply_code, 9, ""); // the second copy
+    transport.send_attempt(other, &request(8), 60_000_000, None);
+    let id = loop {
+        let (command, id, _) = read_command(&mut stream);
+        if command == code::CALL {
+            break id;
+        }
+    };
+    assert_eq!(id, 8, "the call was sent again where a copy of its reply may come");
+    write_reply(&mut stream, code::OK, 8, ""); // read after the copy
+    assert_eq!(attempt_end(&reports), (other, Outcome::Ok));
+    let (mut second_stream, _) = listener.accept().expect("another connection");
+    assert_eq!(read_command(&mut second_stream).0, code::CALL);
+    write_reply(&mut second_stream, code::OK, 9, "");
+    assert_eq!(attempt_end(&reports), (second, Outcome::Ok));
 }
 
 /// A call to a KServe worker carries these headers, letter for letter: a worker ignores a header under
