Keep a lease on workers that rejected work in an outage of discovery

Cause: the first event and a pause of 50 ms count as a list that is up to date, and that ended the leases of all workers, also of those known to have rejected work during the outage.

Change: such a worker needs a lease until it accepts work or is listed anew. Where probes are forbidden the list decides, as before.

--- a/src/readiness.rs
+++ b/src/readiness.rs
@@ -6,6 +6,9 @@
 //! which they were sent. It lasts for the drain grace of the settings. A drain that the front end cannot know
 //! of began after the lease did, so whatever is sent under the lease is sent within the grace. A worker whose
 //! lease has expired is probed before anything new is sent to it.
+//!
+//! After an outage, discovery may tell slowly what was missed, and nothing shows when it has told all of it. So a
+//! worker that is known to have rejected work goes on needing a lease until it accepts some, or is listed anew.
 use crate::control::MS;
 use crate::interface::{Action, DiscoveryState, Event, Micros, Outcome, RequestId};
 use crate::state::Controller;
@@ -42,10 +45,12 @@
     refuted_at: Micros,
     /// When the probe in flight was sent.
     probe_sent_at: Option<Micros>,
-    /// While discovery is lost, nothing is sent to the worker before this.
+    /// While it needs a lease, nothing is sent to the worker before this.
     suspended_until: Micros,
     /// Length of the last suspension; 0 once a probe has succeeded.
     suspension: Micros,
+    /// Whether it rejected work during an outage and has accepted none since.
+    unproven: bool,
 }
 
 impl Lease {
@@ -56,15 +61,21 @@
 
     pub(crate) fn confirm(&mut self, at: Micros) {
         self.confirmed_at = self.confirmed_at.max(at);
+        self.unproven &= !self.is_confirmed();
     }
 
     pub(crate) fn refute(&mut self, at: Micros) {
         self.refuted_at = self.refuted_at.max(at);
     }
 
+    /// Whether the worker has rejected no work since it last accepted some.
+    fn is_confirmed(&self) -> bool {
+        self.confirmed_at > self.refuted_at
+    }
+
     /// When a lease of the given duration ends.
     fn end(&self, duration: Micros) -> Micros {
-        if self.confirmed_at > self.refuted_at {
+        if self.is_confirmed() {
             self.confirmed_at + duration
         } else {
             0
@@ -82,11 +93,20 @@
     pub(crate) fn on_discovery(&mut self, now: Micros, state: DiscoveryState) {
         self.discovery.reported = true;
         match state {
-            DiscoveryState::Current => self.discovery.lost = false,
+            DiscoveryState::Current => self.regain_discovery(),
             DiscoveryState::Lost => self.lose_discovery(now),
         }
     }
 
+    /// The list decides again, but for workers that are known to have rejected work. Without probes these could
+    /// not prove to be ready.
+    fn regain_discovery(&mut self) {
+        if std::mem::take(&mut self.discovery.lost) && self.settings.may_probe {
+            let leases = self.workers.iter_mut().map(|worker| &mut worker.lease);
+            leases.for_each(|lease| lease.unproven = !lease.is_confirmed());
+        }
+    }
+
     /// Handles a stall of this front end since the given time. Updates of discovery may wait unread, so until
     /// it reports again the list is only known to have been current before the stall.
     pub(crate) fn on_stall(&mut self, since: Micros) {
@@ -98,7 +118,8 @@
     /// The list was current until `at`, and is not any more.
     fn lose_discovery(&mut self, at: Micros) {
         if !std::mem::replace(&mut self.discovery.lost, true) {
-            self.workers.iter_mut().for_each(|worker| worker.lease.confirm(at));
+            let leases = self.workers.iter_mut().map(|worker| &mut worker.lease);
+            leases.filter(|lease| !lease.unproven).for_each(|lease| lease.confirm(at));
         }
     }
 
@@ -106,16 +127,21 @@
         self.discovery.lost
     }
 
+    /// Whether a worker needs a lease: the list alone does not tell that it is ready.
+    fn needs_lease(&self, worker_slot: usize) -> bool {
+        self.discovery.lost || self.workers[worker_slot].lease.unproven
+    }
+
     /// Until when something new may be sent to a worker, as far as is known now: 0 if the worker has rejected
-    /// work since it last accepted some, and `None` while discovery is current.
+    /// work since it last accepted some, and `None` if it needs no lease.
     pub(crate) fn lease_end(&self, worker_slot: usize) -> Option<Micros> {
         let grace = self.settings.drain_grace;
         let duration = grace - LEASE_MARGIN.min(grace / 4);
-        self.discovery.lost.then(|| self.workers[worker_slot].lease.end(duration))
+        self.needs_lease(worker_slot).then(|| self.workers[worker_slot].lease.end(duration))
     }
 
     /// Until when something new may be sent to a worker, for the code that carries out actions. A time in the
-    /// past if nothing may be sent; `None` while discovery is current or if the worker is unknown.
+    /// past if nothing may be sent; `None` if the worker needs no lease or is unknown.
     pub fn worker_lease_end(&self, worker: &str) -> Option<Micros> {
         self.worker_slots.get(worker).and_then(|&worker_slot| self.lease_end(worker_slot))
     }
@@ -127,21 +153,15 @@
 
     /// Whether a worker is not chosen because it accepted no work, or did not reply, when it was last probed.
     pub(crate) fn suspended(&self, worker_slot: usize, now: Micros) -> bool {
-        self.discovery.lost && now < self.workers[worker_slot].lease.suspended_until
+        self.needs_lease(worker_slot) && now < self.workers[worker_slot].lease.suspended_until
     }
 
     /// Those of the workers that something may be sent to now; all of them if there is none.
-    pub(crate) fn prefer_leased(&self, workers: Vec<usize>, now: Micros) -> Vec<usize> {
-        if !self.discovery.lost {
-            return workers;
-        }
-        let leased: Vec<usize> =
-            workers.iter().copied().filter(|&worker_slot| self.leased(worker_slot, now)).collect();
-        if leased.is_empty() {
-            workers
-        } else {
-            leased
+    pub(crate) fn prefer_leased(&self, mut workers: Vec<usize>, now: Micros) -> Vec<usize> {
+        if workers.iter().any(|&worker_slot| self.leased(worker_slot, now)) {
+            workers.retain(|&worker_slot| self.leased(worker_slot, now));
         }
+        workers
     }
 
     /// Probes a worker, unless a probe is in flight.
--- a/tests/readiness.rs
+++ b/tests/readiness.rs
@@ -6,10 +6,17 @@
 /// The drain grace, in microseconds.
 const GRACE: Micros = SEC;
 
+fn probing() -> Settings {
+    Settings { drain_grace: GRACE, may_probe: true, ..settings() }
+}
+
 /// A front end that has just lost discovery, with function 7 loaded at all workers.
 fn without_discovery(workers: usize) -> Harness {
-    let set = Settings { drain_grace: GRACE, may_probe: true, ..settings() };
-    let mut harness = Harness::new(set, workers);
+    without_discovery_with(probing(), workers)
+}
+
+fn without_discovery_with(settings: Settings, workers: usize) -> Harness {
+    let mut harness = Harness::new(settings, workers);
     harness.feed(Event::Discovery { state: DiscoveryState::Current });
     let names: Vec<String> = (0..workers).map(|n| format!("w{n}")).collect();
     harness.make_warm(7, 1, &names.iter().map(String::as_str).collect::<Vec<_>>());
@@ -153,6 +160,61 @@
     }
 }
 
+/// A front end that has just regained discovery. Its only worker rejected a call during the outage.
+fn after_a_rejection_in_an_outage(settings: Settings) -> Harness {
+    let mut harness = without_discovery_with(settings, 1);
+    harness.request(2, SAFE, 7);
+    harness.outcome(2, 0, Outcome::Rejected, 2 * MS);
+    harness.feed(Event::RequestCancelled { id: 2 });
+    harness.feed(Event::Discovery { state: DiscoveryState::Current });
+    harness.advance(GRACE / 4); // the block after a rejection is over
+    harness
+}
+
+/// Guards against new work to a worker that began to drain during an outage: discovery is back, and tells of the
+/// drain later than of other changes.
+#[test]
+fn a_worker_that_rejected_work_in_an_outage_gets_none_until_it_accepts_some() {
+    let mut harness = after_a_rejection_in_an_outage(probing());
+    let out = harness.request(3, SAFE, 7);
+    assert_eq!((new_work(&out), probes(&out)), (vec![], vec!["w0".to_owned()]));
+    assert!(new_work(&probed(&mut harness, "w0", Outcome::Rejected)).is_empty());
+    harness.feed(Event::RequestCancelled { id: 3 });
+    assert!(new_work(&harness.advance(GRACE)).is_empty());
+    let out = harness.request(4, SAFE, 7);
+    assert_eq!((new_work(&out), probes(&out)), (vec![], vec!["w0".to_owned()]));
+    assert_eq!(sends(&probed(&mut harness, "w0", Outcome::Ok)), ["w0"]);
+    harness.outcome(4, 0, Outcome::Ok, 50 * MS);
+    harness.advance(2 * GRACE);
+    assert_eq!(sends(&harness.request(5, SAFE, 7)), ["w0"], "the list decides again");
+}
+
+/// A second outage tells nothing new of the worker.
+#[test]
+fn a_second_outage_does_not_confirm_a_worker_that_rejected_work() {
+    let mut harness = after_a_rejection_in_an_outage(probing());
+    harness.feed(Event::Discovery { state: DiscoveryState::Lost });
+    let out = harness.request(3, SAFE, 7);
+    assert_eq!((new_work(&out), probes(&out)), (vec![], vec!["w0".to_owned()]));
+}
+
+/// An entry that discovery sends after the outage is newer than the rejection.
+#[test]
+fn a_worker_that_is_listed_as_ready_after_an_outage_gets_work() {
+    let mut harness = after_a_rejection_in_an_outage(probing());
+    harness.feed(Event::WorkerList { full: false, entries: vec![entry(0)] });
+    let out = harness.request(3, SAFE, 7);
+    assert_eq!((new_work(&out), probes(&out)), (vec!["w0".to_owned()], vec![]));
+}
+
+/// Without probes a worker could not prove to be ready, so the list decides.
+#[test]
+fn the_list_decides_after_an_outage_where_probes_are_forbidden() {
+    let mut harness = after_a_rejection_in_an_outage(Settings { may_probe: false, ..probing() });
+    let out = harness.request(3, SAFE, 7);
+    assert_eq!((new_work(&out), probes(&out)), (vec!["w0".to_owned()], vec![]));
+}
+
 /// After a stall, updates of discovery may wait unread: until discovery reports again, the list is only known
 /// to have been current before the stall.
 #[test]
