Refuse clients beyond the limit on connections instead of closing unread

Cause: without a permit the accepted connection was dropped, and connections with an open request make way for no other.

Change: the places beyond the limit that closing connections may take serve refusals, too: the first request is read, answered with OVERLOADED or 503, and the connection closes. No more descriptors or memory than before.

--- a/heronslip/src/connection_limiter.rs
+++ b/heronslip/src/connection_limiter.rs
@@ -7,20 +7,29 @@
 use std::collections::BTreeMap;
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::{Arc, Weak};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 /// When the limit on client connections is reached, this fraction (1/16) of the limit is closed at a time.
 const IDLE_CLOSE_DIVISOR: usize = 16;
 
 /// Beyond the limit this fraction (1/32) of it, and one more, may be connections that have been told to close but
-/// have not yet.
+/// have not yet, or that close once a request on them has been refused: a client whose connection closes unread
+/// would get no response at all.
 const CLOSING_DIVISOR: usize = 32;
 
+/// A connection whose requests are refused is not closed for another one sooner than this after it was accepted,
+/// so that its client's request can arrive.
+const MIN_REFUSING_TIME: Duration = Duration::from_millis(50);
+
+/// A connection whose requests are refused closes if no request has arrived after this time: it takes the place
+/// of others that are to be refused.
+const MAX_REFUSING_IDLE: Duration = Duration::from_millis(250);
+
 /// Limits the client connections of all listeners together.
 #[derive(Clone)]
 pub struct ConnectionLimiter {
     connections: Arc<Mutex<BTreeMap<u64, Arc<ClientActivity>>>>,
-    /// Connections that the limiter has told to close.
+    /// Connections that the limiter has told to close, or that refuse requests.
     closing: Arc<AtomicUsize>,
     limit: usize,
     memory_budget: MemoryBudget,
@@ -52,11 +61,13 @@
     pub connection_id: u64,
     /// Memory of its requests and unsent responses.
     pub account: Arc<Account>,
+    /// Whether its requests are refused, because the limit on connections is reached.
+    pub refuses_requests: bool,
     /// Its requests that wait for the core.
     pub queued_requests: Arc<AtomicUsize>,
     /// Memory of requests that have been read in part, in bytes.
     incomplete_bytes: AtomicUsize,
-    /// Whether the limiter has told the connection to close.
+    /// Whether the connection counts as one that closes.
     is_closing: AtomicBool,
     /// Whether the client has closed the connection.
     hung_up: AtomicBool,
@@ -143,8 +154,11 @@
     pub fn is_expired(&self, limits: &Limits) -> bool {
         let Ok(state) = self.state.lock() else { return true };
         let Activity { open_requests, idle_since, had_valid_request, .. } = state.0;
-        let timeout =
-            if had_valid_request { limits.client_idle_timeout } else { limits.first_request_timeout };
+        let timeout = match had_valid_request {
+            _ if self.refuses_requests => MAX_REFUSING_IDLE,
+            true => limits.client_idle_timeout,
+            false => limits.first_request_timeout,
+        };
         open_requests == 0 && idle_since.elapsed() > timeout
     }
 }
@@ -163,13 +177,30 @@
 
     /// A permit for a new connection; `None` at the limit.
     pub fn acquire(&self) -> Option<ConnectionPermit> {
-        let mut connections = self.connections.lock().ok()?;
         // Those that close make way at once. Otherwise a new connection would wait for the readers of others,
         // and those behind it for the new one.
-        let closing = self.closing.load(Ordering::Acquire).min(self.limit / CLOSING_DIVISOR + 1);
-        if connections.len() >= self.limit + closing {
+        let closing = self.closing.load(Ordering::Acquire).min(self.max_closing());
+        self.acquire_below(self.limit + closing, false)
+    }
+
+    /// A permit for a new connection whose requests are refused; `None` if too many others close, too.
+    pub fn acquire_refusing(&self) -> Option<ConnectionPermit> {
+        self.acquire_below(self.limit + self.max_closing(), true)
+    }
+
+    /// Connections that may be open beyond the limit, while they close.
+    fn max_closing(&self) -> usize {
+        self.limit / CLOSING_DIVISOR + 1
+    }
+
+    fn acquire_below(&self, limit: usize, refuses_requests: bool) -> Option<ConnectionPermit> {
+        let mut connections = self.connections.lock().ok()?;
+        if connections.len() >= limit {
             return None;
         }
+        if refuses_requests {
+            self.closing.fetch_add(1, Ordering::AcqRel);
+        }
         let activity = Activity {
             open_requests: 0,
             idle_since: Instant::now(),
@@ -180,9 +211,10 @@
         let activity = Arc::new(ClientActivity {
             connection_id: next_connection_id(),
             account: self.memory_budget.open_account(self.guaranteed_memory),
+            refuses_requests,
             queued_requests: Arc::default(),
             incomplete_bytes: AtomicUsize::new(0),
-            is_closing: AtomicBool::new(false),
+            is_closing: AtomicBool::new(refuses_requests),
             hung_up: AtomicBool::new(false),
             state,
         });
@@ -201,7 +233,10 @@
         let idle = |a: &Arc<ClientActivity>| {
             let state = a.state.lock().ok()?;
             let activity = state.0;
-            if a.is_closing.load(Ordering::Acquire) {
+            let awaits_request = activity.idle_since.elapsed() < MIN_REFUSING_TIME;
+            let is_closing =
+                if a.refuses_requests { awaits_request } else { a.is_closing.load(Ordering::Acquire) };
+            if is_closing {
                 return None;
             }
             // A partly read request counts as a common client's if the connection had a valid request before.
@@ -215,8 +250,9 @@
         idle.sort_by_key(|i| i.0);
         idle.truncate(self.limit.div_ceil(IDLE_CLOSE_DIVISOR));
         for (_, outbox, activity) in &idle {
-            activity.is_closing.store(true, Ordering::Release);
-            self.closing.fetch_add(1, Ordering::AcqRel);
+            if !activity.is_closing.swap(true, Ordering::AcqRel) {
+                self.closing.fetch_add(1, Ordering::AcqRel);
+            }
             outbox.close();
         }
         any_new || !idle.is_empty()
--- a/heronslip/src/server/fastcgi/mod.rs
+++ b/heronslip/src/server/fastcgi/mod.rs
@@ -88,8 +88,8 @@
     /// Answers a request that the core does not get, and closes the connection if it is not to be kept.
     fn reject(&self, id: u16, rejection: Rejection, keep_connection: bool) {
         match rejection {
-            Rejection::OutOfMemory => {
-                self.end_request(id, status::OVERLOADED, "the memory budget for requests is exhausted");
+            Rejection::OutOfMemory | Rejection::TooManyConnections => {
+                self.end_request(id, status::OVERLOADED, &rejection.to_string());
             }
             Rejection::InvalidStream(reason) => self.fail_request(id, "400 Bad Request", &reason),
             Rejection::InvalidRequest(reason) => self.fail_request(id, reason.status(), &reason),
--- a/heronslip/src/server/fastcgi/reader.rs
+++ b/heronslip/src/server/fastcgi/reader.rs
@@ -295,6 +295,10 @@
         if self.connection.activity.check_hang_up(&self.stream) {
             return Ok(());
         }
+        if self.connection.activity.refuses_requests {
+            self.connection.reject(id, Rejection::TooManyConnections, false);
+            return Ok(());
+        }
         let rooms = self.context.reserve_request(&self.connection.activity, reservation, body_memory);
         let Some((reservation, response_room)) = rooms else {
             self.connection.reject(id, Rejection::OutOfMemory, keep_connection);
--- a/heronslip/src/server/fastcgi/requests.rs
+++ b/heronslip/src/server/fastcgi/requests.rs
@@ -94,6 +94,9 @@
     /// One of its fields cannot be used.
     #[error(transparent)]
     InvalidRequest(#[from] InvalidRequest),
+    /// All other connections are in use.
+    #[error("the limit on client connections is reached")]
+    TooManyConnections,
     /// The memory budget of all requests is exhausted.
     #[error("the memory budget for requests is exhausted")]
     OutOfMemory,
--- a/heronslip/src/server/kserve.rs
+++ b/heronslip/src/server/kserve.rs
@@ -277,7 +277,7 @@
                     self.grow(partial, length, tag)?;
                     partial_body = Some((head, Vec::with_capacity(length)));
                 }
-                if let Some((head, mut body)) = partial_body.take() {
+                if let Some((mut head, mut body)) = partial_body.take() {
                     let length = head.length.unwrap_or(0);
                     ring.drain_into(length - body.len(), &mut body);
                     if body.len() < length {
@@ -285,6 +285,7 @@
                         continue;
                     }
                     tag += 1;
+                    head.close |= activity.refuses_requests;
                     let (incoming, reservation) =
                         partial_request.take().map(|p| (p.incoming, p.reservation)).unzip();
                     self.handle_request(tag, &head, body, reservation)?;
@@ -414,6 +415,10 @@
     fn infer(&self, tag: u64, name: &str, body: Vec<u8>, reservation: Option<Reservation>) -> HandlerResult {
         let received_at = Instant::now();
         let activity = &self.connection.activity;
+        if activity.refuses_requests {
+            log_limited!("kserve: request refused: the limit on client connections is reached");
+            return error_result("503 Service Unavailable", "too many connections");
+        }
         let Some((reservation, room)) = self.context.reserve_request(activity, reservation, body.capacity())
         else {
             log_limited!("kserve: request refused: the memory budget for requests is exhausted");
--- a/heronslip/src/server/mod.rs
+++ b/heronslip/src/server/mod.rs
@@ -191,15 +191,20 @@
     matches!(error, Some(Errno::EMFILE | Errno::ENFILE | Errno::ENOBUFS | Errno::ENOMEM))
 }
 
-/// Acquires a permit, if necessary by closing idle connections.
+/// Acquires a permit, if necessary by closing idle connections. If all connections are in use, the permit is one
+/// to refuse requests, if necessary once other refusals have been sent.
 fn acquire_permit(context: &ServerContext) -> Option<ConnectionPermit> {
-    let mut permit = context.connection_limiter.acquire();
+    let limiter = &context.connection_limiter;
     for _ in 0..MAX_PERMIT_RETRIES {
-        if permit.is_some() || !context.connection_limiter.close_idle() {
-            break;
+        if let Some(permit) = limiter.acquire() {
+            return Some(permit);
+        }
+        if !limiter.close_idle() {
+            if let Some(permit) = limiter.acquire_refusing() {
+                return Some(permit);
+            }
         }
         pause(PERMIT_RETRY_DELAY);
-        permit = context.connection_limiter.acquire();
     }
-    permit
+    limiter.acquire().or_else(|| limiter.acquire_refusing())
 }
--- a/heronslip/tests/clients.rs
+++ b/heronslip/tests/clients.rs
@@ -21,6 +21,10 @@
 /// Length of a FastCGI record header, which is all of the empty record that ends a request.
 const RECORD_HEADER: usize = 8;
 
+/// An inference request of a KServe v2 client.
+const INFER: &[u8] = b"POST /v2/models/7f3a9c21e0b4d655/infer HTTP/1.1\r\nContent-Length: 54\r\n\r\n\
+    {\"parameters\":{\"class\":\"tile-render\",\"tenant\":\"acme\"}}";
+
 /// The next request that reaches the core: its body, its client and its tag.
 fn next_request(queue: &Receiver<Message>) -> (Vec<u8>, Arc<dyn Client>, u64) {
     loop {
@@ -108,6 +112,44 @@
     assert_eq!(next_request(&queue).0, b"next");
 }
 
+/// Guards against requests without a response: all connections have open requests, and those of further clients
+/// were closed unread.
+#[rstest]
+#[case::fastcgi(fastcgi::serve, fastcgi_call(1, "00000000000000b1", "9000", "x"))]
+#[case::kserve(kserve::serve, INFER.to_vec())]
+fn clients_beyond_the_limit_on_connections_are_refused(
+    #[case] serve: fn(Socket, &ServerContext, ConnectionPermit), #[case] request: Vec<u8>,
+) {
+    let (context, queue) = test_context(|limits| limits.client_connections = 8);
+    let address = start_server(&context, serve);
+    let open: Vec<_> = (0..context.limits.client_connections)
+        .map(|_| {
+            let mut client = connect(address);
+            client.write_all(&request).expect("written");
+            (next_request(&queue), client)
+        })
+        .collect();
+    for _ in 0..3 {
+        let mut client = connect(address);
+        client.write_all(&request).expect("written");
+        let mut response = Vec::new();
+        client.read_to_end(&mut response).expect("a response and a close");
+        let is_refused = match fastcgi_end_status(&response) {
+            Some(status) => status == OVERLOADED,
+            None => response.starts_with(b"HTTP/1.1 503 "),
+        };
+        assert!(is_refused, "{}", String::from_utf8_lossy(&response));
+    }
+    drop(open);
+}
+
+/// The protocol status in a response that is one END_REQUEST record.
+fn fastcgi_end_status(response: &[u8]) -> Option<u8> {
+    const END_REQUEST: u8 = 3;
+    let (header, content) = response.split_first_chunk::<RECORD_HEADER>()?;
+    (header[..2] == [1, END_REQUEST]).then(|| content[4])
+}
+
 /// A client half-closes its connection without reading its responses. The permit must not be released while
 /// they are still being written, since the descriptor is in use as long.
 #[test]
