--- a/src/readiness.rs
+++ b/src/readiness.rs
@@ -7,8 +7,9 @@
 //! of began after the lease did, so whatever is sent under the lease is sent within the grace. A worker whose
 //! lease has expired is probed before anything new is sent to it.
 //!
-//! After an outage, discovery may tell slowly what was missed, and nothing shows when it has told all of it. So a
-//! worker that is known to have rejected work goes on needing a lease until it accepts some, or is listed anew.
+//! After an outage, discovery may tell slowly what was missed, and nothing shows when it has told all of it.
+//! So a worker that is known to have rejected work goes on needing a lease until it accepts some, or is
+//! listed anew.
 use crate::control::MS;
 use crate::interface::{Action, DiscoveryState, Event, Micros, Outcome, RequestId};
 use crate::state::Controller;
@@ -98,8 +99,8 @@
         }
     }
 
-    /// The list decides again, but for workers that are known to have rejected work. Without probes these could
-    /// not prove to be ready.
+    /// The list decides again, but for workers that are known to have rejected work. Without probes these
+    /// could not prove to be ready.
     fn regain_discovery(&mut self) {
         if std::mem::take(&mut self.discovery.lost) && self.settings.may_probe {
             let leases = self.workers.iter_mut().map(|worker| &mut worker.lease);
